--- /dev/null
+++ b/cmake/Targets.cmake
@@ -0,0 +1,78 @@
+# kcd_library(NAME DEPS ...): a static library from src/kingcupdrift/NAME.
+# A folder without sources becomes an interface library.
+function(kcd_library name)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS
+       ${CMAKE_SOURCE_DIR}/src/kingcupdrift/${name}/*.cc)
+  if(sources)
+    add_library(kcd_${name} STATIC ${sources})
+    target_include_directories(kcd_${name} PUBLIC ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(kcd_${name} PUBLIC ${ARG_DEPS})
+  else()
+    add_library(kcd_${name} INTERFACE)
+    target_include_directories(kcd_${name} INTERFACE ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(kcd_${name} INTERFACE ${ARG_DEPS})
+  endif()
+endfunction()
+
+# kcd_program(NAME FOLDER DEPS ...): an executable from FOLDER's sources.
+function(kcd_program name folder)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.cc)
+  if(sources)
+    add_executable(${name} ${sources})
+    target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src
+                                               ${CMAKE_SOURCE_DIR})
+    target_link_libraries(${name} PRIVATE ${ARG_DEPS})
+  endif()
+endfunction()
+
+# Fakes: tests/fakes/*.cc is a library without I/O (models driven by a clock);
+# tests/fakes/standin/*.cc is the program that serves them over HTTP.
+function(kcd_fakes)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/fakes/*.cc)
+  add_library(kcd_fakes STATIC ${sources})
+  target_include_directories(kcd_fakes PUBLIC ${CMAKE_SOURCE_DIR}/src
+                                              ${CMAKE_SOURCE_DIR})
+  target_link_libraries(kcd_fakes PUBLIC kcd_entry)
+  kcd_program(kingcupdrift_standin tests/fakes/standin DEPS kcd_fakes kcd_net
+              absl::flags absl::flags_parse)
+endfunction()
+
+# Tests: each folder of tests/ but fakes is one doctest program, kcd_FOLDER_test.
+function(kcd_tests)
+  file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true
+       ${CMAKE_SOURCE_DIR}/tests/*)
+  foreach(folder ${folders})
+    get_filename_component(name ${folder} NAME)
+    file(GLOB sources CONFIGURE_DEPENDS ${folder}/*_test.cc
+         ${folder}/*_harness.cc)
+    if(IS_DIRECTORY ${folder} AND sources)
+      add_executable(kcd_${name}_test ${sources}
+                     ${CMAKE_SOURCE_DIR}/tests/doctest_main.cc)
+      target_include_directories(kcd_${name}_test PRIVATE
+                                 ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
+      target_link_libraries(kcd_${name}_test PRIVATE kcd_fakes kcd_net kcd_cli
+                            doctest::doctest PkgConfig::LUA
+                            ${RAPIDCHECK_LIBRARY})
+      target_compile_definitions(kcd_${name}_test PRIVATE
+        KINGCUPDRIFT_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
+        KINGCUPDRIFT_BINARY_DIR="${CMAKE_BINARY_DIR}")
+      add_test(NAME ${name} COMMAND kcd_${name}_test)
+      set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    endif()
+  endforeach()
+endfunction()
+
+# Benchmarks: each bench/NAME/ is one program, bench_NAME.
+function(kcd_benches)
+  file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true
+       ${CMAKE_SOURCE_DIR}/bench/*)
+  foreach(folder ${folders})
+    if(IS_DIRECTORY ${folder})
+      get_filename_component(name ${folder} NAME)
+      kcd_program(bench_${name} bench/${name} DEPS kcd_fakes kcd_net
+                  benchmark::benchmark absl::flags absl::flags_parse)
+    endif()
+  endforeach()
+endfunction()
--- /dev/null
+++ b/src/kingcupdrift/base/clock.h
@@ -0,0 +1,48 @@
+#ifndef KINGCUPDRIFT_BASE_CLOCK_H_
+#define KINGCUPDRIFT_BASE_CLOCK_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+namespace kingcupdrift {
+
+using Duration = std::chrono::microseconds;
+
+/// Tag of the monotonic time line that `Clock::Now` reads.
+struct MonotonicTimeline {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicTimeline, Duration>;
+};
+
+/// A point on this process's monotonic time line.
+using MonotonicTime = MonotonicTimeline::time_point;
+/// A point on the wall clock, microseconds since the Unix epoch.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+/// A pending callback. Destroying it cancels the callback.
+class Timer {
+ public:
+  virtual ~Timer() = default;
+};
+
+/// The only source of time for the core. Tests substitute a paused clock.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+
+  virtual MonotonicTime Now() const = 0;
+  virtual WallTime WallNow() const = 0;
+
+  /// Calls `callback` once, on the loop, after `delay`. A negative delay counts
+  /// as zero. The callback never runs inside this call.
+  [[nodiscard]] virtual std::unique_ptr<Timer> RunAfter(
+      Duration delay,
+      std::function<void()> callback) = 0;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_BASE_CLOCK_H_
--- /dev/null
+++ b/src/kingcupdrift/base/hybrid_clock.h
@@ -0,0 +1,42 @@
+#ifndef KINGCUPDRIFT_BASE_HYBRID_CLOCK_H_
+#define KINGCUPDRIFT_BASE_HYBRID_CLOCK_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "kingcupdrift/base/clock.h"
+
+namespace kingcupdrift {
+
+/// Time stamp of a hybrid logical clock: wall time in microseconds since the
+/// Unix epoch, then a counter that orders events within one microsecond.
+struct HybridTime {
+  std::int64_t wall_us = 0;
+  std::uint32_t logical = 0;
+
+  friend auto operator<=>(const HybridTime&, const HybridTime&) = default;
+};
+
+/// Hybrid logical clock: an event stamped after a message was received carries
+/// a later stamp than the event that sent it, whatever the wall clocks say.
+class HybridClock {
+ public:
+  explicit HybridClock(const Clock& clock) : clock_(clock) {}
+
+  /// Stamp for a local event or an outgoing message.
+  HybridTime Tick();
+  /// Merges the stamp of a received message. Stamps further ahead of the wall
+  /// clock than `kMaxAhead` are ignored, so that one bad clock cannot drag the
+  /// others along.
+  void Observe(HybridTime remote);
+
+  static constexpr Duration kMaxAhead = std::chrono::minutes(1);
+
+ private:
+  const Clock& clock_;
+  HybridTime last_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_BASE_HYBRID_CLOCK_H_
--- /dev/null
+++ b/src/kingcupdrift/base/outcome.h
@@ -0,0 +1,25 @@
+#ifndef KINGCUPDRIFT_BASE_OUTCOME_H_
+#define KINGCUPDRIFT_BASE_OUTCOME_H_
+
+#include <string_view>
+
+namespace kingcupdrift {
+
+/// How a request ended, as told to its caller.
+enum class Outcome {
+  /// The whole answer was delivered.
+  kCompleted,
+  /// The request did not run and will not run.
+  kNotRun,
+  /// The request ran and ended without a whole answer.
+  kFailed,
+  /// The request may have run; it will not be run again.
+  kUnknown,
+};
+
+/// "completed", "not_run", "failed" or "unknown".
+std::string_view OutcomeName(Outcome outcome);
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_BASE_OUTCOME_H_
--- /dev/null
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -0,0 +1,105 @@
+#ifndef KINGCUPDRIFT_INTERFACES_PEER_LINK_H_
+#define KINGCUPDRIFT_INTERFACES_PEER_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift {
+
+enum class MemberState { kAlive, kSuspect, kLeaving, kDead };
+
+/// What one instance knows of another.
+struct MemberRecord {
+  InstanceId id;
+  Incarnation incarnation;
+  MemberState state = MemberState::kAlive;
+  /// Listener for peers.
+  Endpoint peer_endpoint;
+  /// Listener for callers.
+  Endpoint caller_endpoint;
+  FailureDomain failure_domain;
+  /// Configuration in force there, as last heard.
+  Generation generation;
+};
+
+/// Tokens and requests that one workspace used at one instance, as running
+/// totals since that instance's start.
+struct WorkspaceUsage {
+  WorkspaceId workspace;
+  std::int64_t requests = 0;
+  std::int64_t tokens = 0;
+};
+
+/// Digest exchange between random peers: members, configuration, usage.
+struct GossipMessage {
+  bool is_reply = false;
+  std::vector<MemberRecord> members;
+  Generation generation;
+  std::string head_digest;
+  std::vector<WorkspaceUsage> usage;
+};
+
+/// Asks whether `target` lives; empty `target` means the receiver itself.
+struct ProbeMessage {
+  std::uint64_t sequence = 0;
+  InstanceId target;
+};
+
+/// Answers a probe for `target`.
+struct ProbeReplyMessage {
+  std::uint64_t sequence = 0;
+  InstanceId target;
+  Incarnation incarnation;
+};
+
+/// Asks a peer for the approved configuration of a generation.
+struct ConfigRequestMessage {
+  Generation generation;
+};
+
+/// One document of an approved configuration.
+struct ConfigDocument {
+  /// "base" or the site's name.
+  std::string name;
+  std::string text;
+};
+
+/// Answers with the serialized head records and the documents they name.
+struct ConfigReplyMessage {
+  /// Head records, oldest first, as stored in the platform's store.
+  std::vector<std::string> head_records;
+  std::vector<ConfigDocument> documents;
+};
+
+using PeerPayload = std::variant<GossipMessage,
+                                 ProbeMessage,
+                                 ProbeReplyMessage,
+                                 ConfigRequestMessage,
+                                 ConfigReplyMessage>;
+
+/// A message between entries.
+struct PeerMessage {
+  InstanceId sender;
+  Incarnation incarnation;
+  HybridTime time;
+  PeerPayload payload;
+};
+
+/// Unreliable, unordered delivery of messages between entries.
+class PeerLink {
+ public:
+  using Receiver = std::function<void(const PeerMessage& message)>;
+
+  virtual ~PeerLink() = default;
+  virtual void Send(const Endpoint& peer, const PeerMessage& message) = 0;
+  virtual void SetReceiver(Receiver receiver) = 0;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_INTERFACES_PEER_LINK_H_
--- /dev/null
+++ b/src/kingcupdrift/main/main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
