Add a model engine and an in-process engine client for tests

FakeEngineClient adds latency, lost replies, and silence in one or both directions; messages in flight arrive although their sender died.

--- /dev/null
+++ b/tests/fakes/fake_engine_client.cc
@@ -0,0 +1,239 @@
+#include "tests/fakes/fake_engine_client.h"
+
+#include <utility>
+
+#include "tests/fakes/answer_text.h"
+#include "tests/fakes/fake_engine_stream.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+EngineModelRequest ToModelRequest(const EngineStreamRequest& request,
+                                  const FakeEngineClientOptions& options) {
+  EngineModelRequest work;
+  work.request = request.request;
+  work.attempt = request.attempt;
+  work.owner = options.owner;
+  work.prompt = options.read_prompt(request);
+  work.prompt_tokens = request.prompt_tokens;
+  work.max_output_tokens = request.max_output_tokens;
+  work.priority = request.priority;
+  work.time_left = request.time_left;
+  work.reservation = request.reservation;
+  work.emitted_tokens = request.emitted_tokens;
+  return work;
+}
+
+/// Adds what the group's other members reserved for the attempt.
+Result<void> AddGroup(const std::vector<EngineAddress>& group,
+                      EngineFleet& fleet,
+                      EngineModelRequest& work) {
+  for (const EngineAddress& member : group) {
+    const EngineModel* model = fleet.Find(member.id);
+    if (model == nullptr || model->ReservedFor(work.attempt) == TokenCount(0)) {
+      return MakeError(ErrorCode::kRefused, "group member without reservation");
+    }
+    ++work.group_size;
+    work.group_memory += model->ReservedFor(work.attempt);
+  }
+  return {};
+}
+
+}  // namespace
+
+PromptFacts ReadBodyOnly(const EngineStreamRequest& request) {
+  return {request.body ? AnswerSeed(*request.body) : 0, {}};
+}
+
+FakeEngineClient::FakeEngineClient(FakeEngineClientOptions options,
+                                   EngineFleet& fleet,
+                                   Clock& clock)
+    : options_(std::move(options)),
+      fleet_(fleet),
+      clock_(clock),
+      replies_(std::make_shared<DeferredCalls>(clock)) {}
+
+FakeEngineClient::~FakeEngineClient() = default;
+
+Duration FakeEngineClient::OneWay(const EngineId& engine) {
+  return options_.latency + fleet_.fault(engine).delay;
+}
+
+std::unique_ptr<EngineStream> FakeEngineClient::Start(
+    const EngineAddress& engine,
+    const EngineStreamRequest& request,
+    EngineStreamObserver& observer) {
+  auto stream = std::make_unique<FakeEngineStream>(
+      engine.id, request.attempt, options_.latency, fleet_, clock_, observer);
+  stream->Open(
+      [work = ToModelRequest(request, options_), group = request.group,
+       &fleet = fleet_](EngineModel& model,
+                        EngineStreamObserver* receiver) -> Result<TokenCount> {
+        EngineModelRequest taken = work;
+        if (const Result<void> added = AddGroup(group, fleet, taken); !added) {
+          return tl::unexpected(added.error());
+        }
+        return model.Start(std::move(taken), receiver);
+      });
+  return stream;
+}
+
+std::unique_ptr<EngineStream> FakeEngineClient::Resume(
+    const EngineAddress& engine,
+    const AttemptId& attempt,
+    std::uint64_t offset,
+    EngineStreamObserver& observer) {
+  auto stream = std::make_unique<FakeEngineStream>(
+      engine.id, attempt, options_.latency, fleet_, clock_, observer);
+  stream->Open(
+      [attempt, offset](EngineModel& model,
+                        EngineStreamObserver* receiver) -> Result<TokenCount> {
+        if (receiver == nullptr) {
+          return TokenCount(0);
+        }
+        const Result<void> resumed = model.Resume(attempt, offset, receiver);
+        if (!resumed) {
+          return tl::unexpected(resumed.error());
+        }
+        return TokenCount(0);
+      });
+  return stream;
+}
+
+template <typename T>
+void FakeEngineClient::CallModel(const EngineId& engine,
+                                 ErrorCode lost,
+                                 std::function<Result<T>(EngineModel&)> action,
+                                 std::function<void(Result<T>)> callback) {
+  const EngineLinkFault& fault = fleet_.fault(engine);
+  if (fault.is_down || fleet_.Find(engine) == nullptr) {
+    replies_->Post(options_.latency, [callback = std::move(callback)] {
+      callback(MakeError(ErrorCode::kUnavailable, "connection refused"));
+    });
+    return;
+  }
+  if (fault.is_silent_to_engine && !fault.spares_new_connections) {
+    replies_->Post(options_.call_timeout, [callback, lost] {
+      callback(MakeError(lost, "no answer"));
+    });
+    return;
+  }
+  const std::weak_ptr<DeferredCalls> replies = replies_;
+  fleet_.in_flight().Post(
+      OneWay(engine),
+      [&fleet = fleet_, engine, lost, replies, options = options_,
+       action = std::move(action), callback = std::move(callback)] {
+        const EngineLinkFault& now = fleet.fault(engine);
+        Result<T> result = MakeError(lost, "connection lost");
+        Duration delay = options.latency + now.delay;
+        if (!now.is_down) {
+          result = action(*fleet.Find(engine));
+        }
+        const bool is_silent =
+            now.is_silent_from_engine && !now.spares_new_connections;
+        if (fleet.TakeLostReply(engine) || is_silent) {
+          result = MakeError(lost, "no answer");
+          delay = options.call_timeout;
+        }
+        if (const auto mailbox = replies.lock()) {
+          mailbox->Post(delay, [callback, result] { callback(result); });
+        }
+      });
+}
+
+void FakeEngineClient::Cancel(const EngineAddress& engine,
+                              const AttemptId& attempt,
+                              DoneCallback callback) {
+  CallModel<void>(
+      engine.id, ErrorCode::kUnknownEffect,
+      [attempt](EngineModel& model) -> Result<void> {
+        model.Cancel(attempt);
+        return {};
+      },
+      std::move(callback));
+}
+
+void FakeEngineClient::Reserve(const EngineAddress& engine,
+                               const ReservationRequest& request,
+                               DoneCallback callback) {
+  CallModel<void>(
+      engine.id, ErrorCode::kUnknownEffect,
+      [request](EngineModel& model) { return model.Reserve(request); },
+      std::move(callback));
+}
+
+void FakeEngineClient::Release(const EngineAddress& engine,
+                               const ReservationId& reservation,
+                               DoneCallback callback) {
+  CallModel<void>(
+      engine.id, ErrorCode::kUnknownEffect,
+      [reservation](EngineModel& model) -> Result<void> {
+        model.Release(reservation);
+        return {};
+      },
+      std::move(callback));
+}
+
+void FakeEngineClient::ListHoldings(const EngineAddress& engine,
+                                    HoldingsCallback callback) {
+  CallModel<std::vector<EngineHolding>>(
+      engine.id, ErrorCode::kConnectionLost,
+      [](EngineModel& model) -> Result<std::vector<EngineHolding>> {
+        return model.Holdings();
+      },
+      std::move(callback));
+}
+
+void FakeEngineClient::FetchReport(const EngineAddress& engine,
+                                   ReportCallback callback) {
+  CallModel<EngineReport>(
+      engine.id, ErrorCode::kConnectionLost,
+      [](EngineModel& model) -> Result<EngineReport> { return model.Report(); },
+      std::move(callback));
+}
+
+void FakeEngineClient::FetchCacheEvents(const EngineAddress& engine,
+                                        std::uint64_t after_sequence,
+                                        CacheEventsCallback callback) {
+  CallModel<CacheEventBatch>(
+      engine.id, ErrorCode::kConnectionLost,
+      [after_sequence](EngineModel& model) -> Result<CacheEventBatch> {
+        return model.CacheEvents(after_sequence);
+      },
+      std::move(callback));
+}
+
+void FakeEngineClient::SendOrder(const EngineAddress& engine,
+                                 const PlacementOrder& order,
+                                 DoneCallback callback) {
+  CallModel<void>(
+      engine.id, ErrorCode::kUnknownEffect,
+      [order](EngineModel& model) { return model.Order(order); },
+      std::move(callback));
+}
+
+void FakeEngineClient::ExportCache(
+    const EngineAddress& engine,
+    const std::vector<std::uint64_t>& block_digests,
+    CacheTransferCallback callback) {
+  CallModel<SharedBytes>(
+      engine.id, ErrorCode::kConnectionLost,
+      [block_digests](EngineModel& model) {
+        return model.ExportCache(block_digests);
+      },
+      std::move(callback));
+}
+
+void FakeEngineClient::ImportCache(const EngineAddress& engine,
+                                   const ReservationRequest& holding,
+                                   SharedBytes exported,
+                                   DoneCallback callback) {
+  CallModel<void>(
+      engine.id, ErrorCode::kUnknownEffect,
+      [holding, exported](EngineModel& model) {
+        return model.ImportCache(holding, *exported);
+      },
+      std::move(callback));
+}
+
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/fakes/fake_engine_client.h
@@ -0,0 +1,93 @@
+#ifndef TESTS_FAKES_FAKE_ENGINE_CLIENT_H_
+#define TESTS_FAKES_FAKE_ENGINE_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "tests/fakes/engine_fleet.h"
+
+namespace kingcupdrift::fakes {
+
+/// Reads a request's prompt for the model.
+using PromptReader = std::function<PromptFacts(const EngineStreamRequest&)>;
+
+/// Digests the whole body for the answer and knows no blocks.
+PromptFacts ReadBodyOnly(const EngineStreamRequest& request);
+
+struct FakeEngineClientOptions {
+  /// Tag of the work this client starts.
+  InstanceId owner;
+  /// One-way latency.
+  Duration latency = std::chrono::microseconds(500);
+  /// Time after which a control call without an answer fails.
+  Duration call_timeout = std::chrono::seconds(2);
+  PromptReader read_prompt = ReadBodyOnly;
+};
+
+/// Calls the models of a fleet in process, with latency and faults. One client
+/// stands for one entry; destroying it is that entry's death: its messages on
+/// the way still arrive, and no callback comes any more.
+class FakeEngineClient : public EngineClient {
+ public:
+  FakeEngineClient(FakeEngineClientOptions options,
+                   EngineFleet& fleet,
+                   Clock& clock);
+  ~FakeEngineClient() override;
+
+  std::unique_ptr<EngineStream> Start(const EngineAddress& engine,
+                                      const EngineStreamRequest& request,
+                                      EngineStreamObserver& observer) override;
+  std::unique_ptr<EngineStream> Resume(const EngineAddress& engine,
+                                       const AttemptId& attempt,
+                                       std::uint64_t offset,
+                                       EngineStreamObserver& observer) override;
+  void Cancel(const EngineAddress& engine,
+              const AttemptId& attempt,
+              DoneCallback callback) override;
+  void Reserve(const EngineAddress& engine,
+               const ReservationRequest& request,
+               DoneCallback callback) override;
+  void Release(const EngineAddress& engine,
+               const ReservationId& reservation,
+               DoneCallback callback) override;
+  void ListHoldings(const EngineAddress& engine,
+                    HoldingsCallback callback) override;
+  void FetchReport(const EngineAddress& engine,
+                   ReportCallback callback) override;
+  void FetchCacheEvents(const EngineAddress& engine,
+                        std::uint64_t after_sequence,
+                        CacheEventsCallback callback) override;
+  void SendOrder(const EngineAddress& engine,
+                 const PlacementOrder& order,
+                 DoneCallback callback) override;
+  void ExportCache(const EngineAddress& engine,
+                   const std::vector<std::uint64_t>& block_digests,
+                   CacheTransferCallback callback) override;
+  void ImportCache(const EngineAddress& engine,
+                   const ReservationRequest& holding,
+                   SharedBytes exported,
+                   DoneCallback callback) override;
+
+ private:
+  /// Runs `action` on the engine's model and `callback` on the way back; a call
+  /// without an answer ends with `lost`.
+  template <typename T>
+  void CallModel(const EngineId& engine,
+                 ErrorCode lost,
+                 std::function<Result<T>(EngineModel&)> action,
+                 std::function<void(Result<T>)> callback);
+  Duration OneWay(const EngineId& engine);
+
+  FakeEngineClientOptions options_;
+  EngineFleet& fleet_;
+  Clock& clock_;
+  // Shared with messages in flight, which may outlive the client.
+  std::shared_ptr<DeferredCalls> replies_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_FAKE_ENGINE_CLIENT_H_
--- /dev/null
+++ b/tests/fakes/fake_engine_stream.h
@@ -0,0 +1,65 @@
+#ifndef TESTS_FAKES_FAKE_ENGINE_STREAM_H_
+#define TESTS_FAKES_FAKE_ENGINE_STREAM_H_
+
+#include <functional>
+#include <memory>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "tests/fakes/engine_fleet.h"
+
+namespace kingcupdrift::fakes {
+
+/// One connection that carries a stream from a model to a client.
+class FakeEngineStream : public EngineStream,
+                         public EngineStreamObserver,
+                         public EngineConnection {
+ public:
+  /// What the request does when it reaches the engine. The observer is null if
+  /// the client has closed the connection since.
+  using Opening =
+      std::function<Result<TokenCount>(EngineModel&, EngineStreamObserver*)>;
+
+  FakeEngineStream(EngineId engine,
+                   AttemptId attempt,
+                   Duration latency,
+                   EngineFleet& fleet,
+                   Clock& clock,
+                   EngineStreamObserver& observer);
+  ~FakeEngineStream() override;
+
+  /// Sends the request on its way.
+  void Open(Opening opening);
+
+  void SetPaused(bool is_paused) override;
+
+  void OnAccepted(TokenCount cached) override;
+  void OnChunk(EngineChunk chunk) override;
+  void OnFinished(FinishReason reason, std::uint64_t total_tokens) override;
+  void OnFailed(Error error) override;
+  void OnLinkDown() override;
+
+ private:
+  void OnArrival(const Opening& opening);
+  /// Carries an event to the client, in order, unless the link lost it.
+  void Deliver(std::function<void()> event);
+  void FailLocally(Error error);
+  bool IsSilent(bool EngineLinkFault::*direction);
+
+  EngineId engine_;
+  AttemptId attempt_;
+  Duration latency_;
+  EngineFleet& fleet_;
+  Clock& clock_;
+  EngineStreamObserver& observer_;
+  std::uint64_t opening_epoch_;
+  bool is_lost_ = false;
+  MonotonicTime last_delivery_;
+  DeferredCalls deliveries_;
+  // Lets a request in flight see that the client is gone.
+  std::shared_ptr<bool> is_open_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_FAKE_ENGINE_STREAM_H_
--- /dev/null
+++ b/tests/fakes/prefix_cache.h
@@ -0,0 +1,64 @@
+#ifndef TESTS_FAKES_PREFIX_CACHE_H_
+#define TESTS_FAKES_PREFIX_CACHE_H_
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+
+namespace kingcupdrift::fakes {
+
+struct PrefixCacheOptions {
+  /// Blocks that fit.
+  std::size_t capacity = 1000;
+  /// Delay until an event can be fetched.
+  Duration event_lag = std::chrono::milliseconds(500);
+  /// Share of events that are lost, in [0, 1].
+  double lost_share = 0;
+  /// Events kept for fetching; older ones are lost.
+  std::size_t max_events = 100'000;
+};
+
+/// An engine's cache of prompt blocks: least recently used ones leave first.
+/// Its events come late and with gaps, as configured.
+class PrefixCache {
+ public:
+  PrefixCache(PrefixCacheOptions options, const Clock& clock, Random& random);
+
+  /// Number of leading blocks that are cached.
+  std::size_t CountCachedPrefix(const std::vector<std::uint64_t>& blocks) const;
+  /// Caches the blocks and marks them as used now.
+  void Insert(const std::vector<std::uint64_t>& blocks);
+  bool Contains(std::uint64_t block) const { return index_.contains(block); }
+  /// Drops every block and event, as a restart does.
+  void Clear();
+
+  /// Events with a sequence above `after` that are old enough to be seen.
+  CacheEventBatch FetchEvents(std::uint64_t after) const;
+
+ private:
+  struct TimedEvent {
+    CacheEvent event;
+    MonotonicTime time;
+  };
+
+  void Record(bool is_cached, std::uint64_t block);
+  void EvictExcess();
+
+  PrefixCacheOptions options_;
+  const Clock& clock_;
+  Random& random_;
+  // Most recently used first.
+  std::list<std::uint64_t> recency_;
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> index_;
+  std::deque<TimedEvent> events_;
+  std::uint64_t last_sequence_ = 0;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_PREFIX_CACHE_H_
