Add fakes of the store, the list, services and peer links

A model holds what outlives an entry (store, services, network); a client belongs to one entry, so that destroying it is that entry's death: requests in flight still take effect, answers are dropped. FreezableClock stands for SIGSTOP; with it as a client's clock, that client's answers wait as well. The store loses replies, is slow, is down, is silent to one client, and applies writes after their caller gave up. A watch that was open when silence began stays silent for good.

--- /dev/null
+++ b/tests/fakes/fake_peer_network.h
@@ -0,0 +1,75 @@
+#ifndef TESTS_FAKES_FAKE_PEER_NETWORK_H_
+#define TESTS_FAKES_FAKE_PEER_NETWORK_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "tests/fakes/deferred_calls.h"
+
+namespace kingcupdrift::fakes {
+
+class FakePeerLink;
+
+/// Carries messages between the entries of a test.
+class FakePeerNetwork {
+ public:
+  FakePeerNetwork(Duration latency, Clock& clock)
+      : latency_(latency), in_flight_(clock) {}
+
+  /// Loses messages from `sender` to `receiver`, one way.
+  void CutOneWay(const Endpoint& sender, const Endpoint& receiver) {
+    cuts_.emplace(sender, receiver);
+  }
+  void Cut(const Endpoint& a, const Endpoint& b) {
+    CutOneWay(a, b);
+    CutOneWay(b, a);
+  }
+  void HealAll() { cuts_.clear(); }
+
+  std::uint64_t messages() const { return messages_; }
+
+ private:
+  friend class FakePeerLink;
+
+  void Send(const Endpoint& sender,
+            const Endpoint& receiver,
+            const PeerMessage& message);
+
+  Duration latency_;
+  std::map<Endpoint, FakePeerLink*> links_;
+  std::set<std::pair<Endpoint, Endpoint>> cuts_;
+  std::uint64_t messages_ = 0;
+  DeferredCalls in_flight_;
+};
+
+/// One entry's link. `clock` is that entry's own, so that a frozen entry gets
+/// its messages when it is thawed.
+class FakePeerLink : public PeerLink {
+ public:
+  FakePeerLink(Endpoint local, FakePeerNetwork& network, Clock& clock);
+  ~FakePeerLink() override;
+
+  void Send(const Endpoint& peer, const PeerMessage& message) override;
+  void SetReceiver(Receiver receiver) override {
+    receiver_ = std::move(receiver);
+  }
+
+ private:
+  friend class FakePeerNetwork;
+
+  void Receive(const PeerMessage& message);
+
+  Endpoint local_;
+  FakePeerNetwork& network_;
+  Receiver receiver_;
+  DeferredCalls inbox_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_FAKE_PEER_NETWORK_H_
--- /dev/null
+++ b/tests/fakes/fake_service.cc
@@ -0,0 +1,128 @@
+#include "tests/fakes/fake_service.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace kingcupdrift::fakes {
+namespace {
+
+constexpr Duration kLatency = std::chrono::microseconds(500);
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+ServiceResponse ServiceModel::Run(const std::string& idempotency_key,
+                                  const AttemptId& attempt) {
+  const int n = ++by_key_[idempotency_key];
+  ++by_attempt_[attempt];
+  ServiceResponse response;
+  response.status = kStatusOk;
+  response.headers.emplace_back("Content-Type", "application/json");
+  response.body = std::make_shared<const std::string>(
+      fmt::format("{{\"executed\":{}}}", n));
+  return response;
+}
+
+bool ServiceModel::TakeLostReply() {
+  if (replies_to_lose_ == 0) {
+    return false;
+  }
+  --replies_to_lose_;
+  return true;
+}
+
+int ServiceModel::RunsOfKey(const std::string& idempotency_key) const {
+  const auto it = by_key_.find(idempotency_key);
+  return it == by_key_.end() ? 0 : it->second;
+}
+
+int ServiceFleet::RunsOfKey(const std::string& idempotency_key) const {
+  int sum = 0;
+  for (const auto& [id, model] : models_) {
+    sum += model.RunsOfKey(idempotency_key);
+  }
+  return sum;
+}
+
+/// One call. The first of answer, failure and time limit ends it.
+class FakeServiceClient::FakeCall : public ServiceCall {
+ public:
+  FakeCall(Clock& clock, Callback callback)
+      : replies_(std::make_shared<DeferredCalls>(clock)),
+        is_settled_(std::make_shared<bool>(false)),
+        callback_(std::move(callback)) {}
+
+  void Send(ServiceFleet& fleet,
+            const EngineId& target,
+            const ServiceRequest& request) {
+    const ServiceFault& fault = fleet.Get(target).fault();
+    if (fault.is_down) {
+      Settle(kLatency, MakeError(ErrorCode::kUnavailable, "refused"));
+      return;
+    }
+    Settle(request.time_left,
+           MakeError(ErrorCode::kUnknownEffect, "no answer in time"));
+    const bool is_lost =
+        fault.is_silent_on_old_connections && !request.needs_new_connection;
+    if (fault.is_silent || is_lost) {
+      return;
+    }
+    fleet.in_flight().Post(kLatency, Arrival(fleet, target, request));
+  }
+
+ private:
+  std::function<void()> Arrival(ServiceFleet& fleet,
+                                const EngineId& target,
+                                const ServiceRequest& request) {
+    const std::weak_ptr<DeferredCalls> replies = replies_;
+    return [&fleet, target, replies, key = request.idempotency_key,
+            attempt = request.attempt, is_settled = is_settled_,
+            callback = callback_] {
+      ServiceModel& model = fleet.Get(target);
+      Result<ServiceResponse> result =
+          MakeError(ErrorCode::kUnknownEffect, "connection broke");
+      if (!model.fault().is_down) {
+        result = model.Run(key, attempt);
+      }
+      const bool is_lost = model.fault().loses_replies || model.TakeLostReply();
+      const auto mailbox = replies.lock();
+      if (mailbox && !is_lost) {
+        mailbox->Post(model.fault().run_time + kLatency,
+                      [is_settled, callback, result] {
+                        if (!std::exchange(*is_settled, true)) {
+                          callback(result);
+                        }
+                      });
+      }
+    };
+  }
+
+  void Settle(Duration delay, Result<ServiceResponse> result) {
+    replies_->Post(delay, [is_settled = is_settled_, callback = callback_,
+                           result = std::move(result)] {
+      if (!std::exchange(*is_settled, true)) {
+        callback(result);
+      }
+    });
+  }
+
+  // Shared with requests in flight, which may outlive the call.
+  std::shared_ptr<DeferredCalls> replies_;
+  std::shared_ptr<bool> is_settled_;
+  Callback callback_;
+};
+
+FakeServiceClient::FakeServiceClient(ServiceFleet& fleet, Clock& clock)
+    : fleet_(fleet), clock_(clock) {}
+
+std::unique_ptr<ServiceCall> FakeServiceClient::Call(
+    const EngineAddress& target,
+    const ServiceRequest& request,
+    Callback callback) {
+  auto call = std::make_unique<FakeCall>(clock_, std::move(callback));
+  call->Send(fleet_, target.id, request);
+  return call;
+}
+
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/fakes/fake_service.h
@@ -0,0 +1,93 @@
+#ifndef TESTS_FAKES_FAKE_SERVICE_H_
+#define TESTS_FAKES_FAKE_SERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "tests/fakes/deferred_calls.h"
+
+namespace kingcupdrift::fakes {
+
+/// Faults of a plain service.
+struct ServiceFault {
+  /// Connections are refused.
+  bool is_down = false;
+  /// Requests arrive and run; no answer comes.
+  bool loses_replies = false;
+  /// Requests never arrive and no answer comes.
+  bool is_silent = false;
+  /// Requests on connections that are not new vanish.
+  bool is_silent_on_old_connections = false;
+  /// Time that a call runs.
+  Duration run_time = std::chrono::milliseconds(5);
+};
+
+/// A plain service without I/O that counts what ran. It does not recognise
+/// repeated calls, so each arrival counts.
+class ServiceModel {
+ public:
+  /// Runs a call; the answer's body is {"executed":N}, N the executions of this
+  /// idempotency key so far.
+  ServiceResponse Run(const std::string& idempotency_key,
+                      const AttemptId& attempt);
+
+  void SetFault(ServiceFault fault) { fault_ = fault; }
+  const ServiceFault& fault() const { return fault_; }
+  /// The replies to the next `n` calls are lost after running.
+  void LoseReplies(int n) { replies_to_lose_ += n; }
+  bool TakeLostReply();
+
+  int RunsOfKey(const std::string& idempotency_key) const;
+  const std::map<std::string, int>& runs_by_key() const { return by_key_; }
+  const std::map<AttemptId, int>& runs_by_attempt() const {
+    return by_attempt_;
+  }
+
+ private:
+  ServiceFault fault_;
+  int replies_to_lose_ = 0;
+  std::map<std::string, int> by_key_;
+  std::map<AttemptId, int> by_attempt_;
+};
+
+/// The plain services of a test, by target.
+class ServiceFleet {
+ public:
+  explicit ServiceFleet(Clock& clock) : in_flight_(clock) {}
+
+  ServiceModel& Get(const EngineId& id) { return models_[id]; }
+  std::map<EngineId, ServiceModel>& models() { return models_; }
+  /// Executions of a key over all targets.
+  int RunsOfKey(const std::string& idempotency_key) const;
+  DeferredCalls& in_flight() { return in_flight_; }
+
+ private:
+  std::map<EngineId, ServiceModel> models_;
+  DeferredCalls in_flight_;
+};
+
+/// One entry's client of a fleet of plain services. Destroying it is that
+/// entry's death; requests on the way still run.
+class FakeServiceClient : public ServiceClient {
+ public:
+  FakeServiceClient(ServiceFleet& fleet, Clock& clock);
+
+  std::unique_ptr<ServiceCall> Call(const EngineAddress& target,
+                                    const ServiceRequest& request,
+                                    Callback callback) override;
+
+ private:
+  class FakeCall;
+
+  ServiceFleet& fleet_;
+  Clock& clock_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_FAKE_SERVICE_H_
--- /dev/null
+++ b/tests/fakes/fake_store.cc
@@ -0,0 +1,217 @@
+#include "tests/fakes/fake_store.h"
+
+#include <utility>
+
+namespace kingcupdrift::fakes {
+
+/// One open watch, on its own connection.
+class FakeStore::FakeWatch : public StoreWatch {
+ public:
+  FakeWatch(FakeStore& store, WatchCallback callback)
+      : store_(store), callback_(std::move(callback)), events_(store.clock_) {
+    store_.watches_.insert(this);
+  }
+
+  ~FakeWatch() override {
+    store_.watches_.erase(this);
+    Close();
+  }
+
+  void Open(const std::string& prefix, StoreVersion after) {
+    if (store_.model_.fault().is_down) {
+      Fail({ErrorCode::kUnavailable, "connection refused"});
+      return;
+    }
+    if (store_.is_silent_to_store_) {
+      return;
+    }
+    is_silent_ = *store_.is_silent_from_store_;
+    down_id_ = store_.model_.OnDown([this] {
+      Fail({ErrorCode::kConnectionLost, "connection broke"});
+    });
+    watch_id_ = store_.model_.Watch(
+        prefix, after, [this](const StoreEvent& event) { Deliver(event); });
+    is_open_ = true;
+  }
+
+  void BecomeSilent() { is_silent_ = true; }
+
+ private:
+  void Close() {
+    if (is_open_) {
+      is_open_ = false;
+      store_.model_.StopWatch(watch_id_);
+      store_.model_.RemoveOnDown(down_id_);
+    }
+  }
+
+  void Deliver(const StoreEvent& event) {
+    if (!is_silent_) {
+      const Duration delay =
+          store_.options_.latency + store_.model_.fault().delay;
+      events_.Post(delay, [callback = callback_, event] { callback(event); });
+    }
+  }
+
+  void Fail(Error error) {
+    Close();
+    if (!is_silent_) {
+      events_.Post(store_.options_.latency,
+                   [callback = callback_, error = std::move(error)] {
+                     callback(tl::unexpected(error));
+                   });
+    }
+  }
+
+  FakeStore& store_;
+  WatchCallback callback_;
+  DeferredCalls events_;
+  bool is_open_ = false;
+  bool is_silent_ = false;
+  std::uint64_t watch_id_ = 0;
+  std::uint64_t down_id_ = 0;
+};
+
+FakeStore::FakeStore(FakeStoreOptions options, StoreModel& model, Clock& clock)
+    : options_(options),
+      model_(model),
+      clock_(clock),
+      is_silent_from_store_(std::make_shared<bool>(false)),
+      replies_(std::make_shared<DeferredCalls>(clock)) {}
+
+FakeStore::~FakeStore() = default;
+
+void FakeStore::SetSilentFromStore(bool is_silent) {
+  *is_silent_from_store_ = is_silent;
+  if (is_silent) {
+    for (FakeWatch* watch : watches_) {
+      watch->BecomeSilent();
+    }
+  }
+}
+
+template <typename T>
+void FakeStore::Call(CallKind kind,
+                     std::function<Result<T>(StoreModel&)> action,
+                     std::function<void(Result<T>)> callback) {
+  if (model_.fault().is_down) {
+    replies_->Post(options_.latency, [callback = std::move(callback)] {
+      callback(MakeError(ErrorCode::kUnavailable, "connection refused"));
+    });
+    return;
+  }
+  const bool is_write = kind == CallKind::kWrite;
+  // The first of answer and timeout ends the call.
+  const auto is_settled = std::make_shared<bool>(false);
+  const auto settle =
+      [is_settled, callback = std::move(callback)](const Result<T>& result) {
+        if (!std::exchange(*is_settled, true)) {
+          callback(result);
+        }
+      };
+  const ErrorCode timeout =
+      is_write ? ErrorCode::kUnknownEffect : ErrorCode::kDeadlineExceeded;
+  replies_->Post(options_.call_timeout, [settle, timeout] {
+    settle(MakeError(timeout, "no answer"));
+  });
+  if (is_silent_to_store_) {
+    return;
+  }
+  const ErrorCode broken =
+      is_write ? ErrorCode::kUnknownEffect : ErrorCode::kConnectionLost;
+  const bool is_lost = is_write && model_.TakeLostReply();
+  const Duration late = is_write ? model_.TakeWriteDelay() : Duration::zero();
+  const std::weak_ptr<DeferredCalls> replies = replies_;
+  model_.in_flight().Post(
+      options_.latency + model_.fault().delay + late,
+      [&model = model_, replies, settle, is_lost, broken,
+       latency = options_.latency, is_silent = is_silent_from_store_,
+       action = std::move(action)] {
+        Result<T> result = MakeError(broken, "connection broke");
+        if (!model.fault().is_down) {
+          result = action(model);
+        }
+        const auto mailbox = replies.lock();
+        if (mailbox && !is_lost && !*is_silent) {
+          mailbox->Post(latency, [settle, result] { settle(result); });
+        }
+      });
+}
+
+void FakeStore::Get(const std::string& key, GetCallback callback) {
+  Call<std::optional<StoreValue>>(
+      CallKind::kRead,
+      [key](StoreModel& model) -> Result<std::optional<StoreValue>> {
+        return model.Get(key);
+      },
+      std::move(callback));
+}
+
+void FakeStore::List(const std::string& prefix, ListCallback callback) {
+  Call<std::vector<StoreEntry>>(
+      CallKind::kRead,
+      [prefix](StoreModel& model) -> Result<std::vector<StoreEntry>> {
+        return model.List(prefix);
+      },
+      std::move(callback));
+}
+
+void FakeStore::CompareAndSwap(const std::string& key,
+                               StoreVersion expected,
+                               std::string value,
+                               LeaseId lease,
+                               WriteCallback callback) {
+  Call<StoreVersion>(
+      CallKind::kWrite,
+      [key, expected, value = std::move(value), lease](StoreModel& model) {
+        return model.CompareAndSwap(key, expected, value, lease);
+      },
+      std::move(callback));
+}
+
+void FakeStore::CompareAndDelete(const std::string& key,
+                                 StoreVersion expected,
+                                 WriteCallback callback) {
+  Call<StoreVersion>(
+      CallKind::kWrite,
+      [key, expected](StoreModel& model) {
+        return model.CompareAndDelete(key, expected);
+      },
+      std::move(callback));
+}
+
+void FakeStore::GrantLease(Duration time_to_live, LeaseCallback callback) {
+  Call<LeaseId>(
+      CallKind::kWrite,
+      [time_to_live](StoreModel& model) -> Result<LeaseId> {
+        return model.GrantLease(time_to_live);
+      },
+      std::move(callback));
+}
+
+void FakeStore::KeepAlive(LeaseId lease, DoneCallback callback) {
+  Call<void>(
+      CallKind::kWrite,
+      [lease](StoreModel& model) { return model.KeepAlive(lease); },
+      std::move(callback));
+}
+
+void FakeStore::Revoke(LeaseId lease, DoneCallback callback) {
+  Call<void>(
+      CallKind::kWrite,
+      [lease](StoreModel& model) -> Result<void> {
+        model.Revoke(lease);
+        return {};
+      },
+      std::move(callback));
+}
+
+std::unique_ptr<StoreWatch> FakeStore::Watch(const std::string& prefix,
+                                             StoreVersion after,
+                                             WatchCallback callback) {
+  auto watch = std::make_unique<FakeWatch>(*this, std::move(callback));
+  watch->Open(prefix, after);
+  return watch;
+}
+
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/fakes/fake_store.h
@@ -0,0 +1,75 @@
+#ifndef TESTS_FAKES_FAKE_STORE_H_
+#define TESTS_FAKES_FAKE_STORE_H_
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "tests/fakes/deferred_calls.h"
+#include "tests/fakes/store_model.h"
+
+namespace kingcupdrift::fakes {
+
+struct FakeStoreOptions {
+  /// One-way latency.
+  Duration latency = std::chrono::milliseconds(1);
+  /// Time after which a call without an answer fails.
+  Duration call_timeout = std::chrono::seconds(2);
+};
+
+/// One entry's client of a StoreModel. Destroying it is that entry's death: its
+/// requests on the way still take effect, and no callback comes any more. The
+/// model outlives it.
+class FakeStore : public PlatformStore {
+ public:
+  FakeStore(FakeStoreOptions options, StoreModel& model, Clock& clock);
+  ~FakeStore() override;
+
+  void Get(const std::string& key, GetCallback callback) override;
+  void List(const std::string& prefix, ListCallback callback) override;
+  void CompareAndSwap(const std::string& key,
+                      StoreVersion expected,
+                      std::string value,
+                      LeaseId lease,
+                      WriteCallback callback) override;
+  void CompareAndDelete(const std::string& key,
+                        StoreVersion expected,
+                        WriteCallback callback) override;
+  void GrantLease(Duration time_to_live, LeaseCallback callback) override;
+  void KeepAlive(LeaseId lease, DoneCallback callback) override;
+  void Revoke(LeaseId lease, DoneCallback callback) override;
+  std::unique_ptr<StoreWatch> Watch(const std::string& prefix,
+                                    StoreVersion after,
+                                    WatchCallback callback) override;
+
+  /// Requests of this client never arrive.
+  void SetSilentToStore(bool is_silent) { is_silent_to_store_ = is_silent; }
+  /// Answers to this client never arrive. Watches open while it was set stay
+  /// silent for good.
+  void SetSilentFromStore(bool is_silent);
+
+ private:
+  class FakeWatch;
+  enum class CallKind { kRead, kWrite };
+
+  template <typename T>
+  void Call(CallKind kind,
+            std::function<Result<T>(StoreModel&)> action,
+            std::function<void(Result<T>)> callback);
+
+  FakeStoreOptions options_;
+  StoreModel& model_;
+  Clock& clock_;
+  bool is_silent_to_store_ = false;
+  // Shared with requests in flight, which may outlive the client.
+  std::shared_ptr<bool> is_silent_from_store_;
+  std::shared_ptr<DeferredCalls> replies_;
+  std::set<FakeWatch*> watches_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_FAKE_STORE_H_
--- /dev/null
+++ b/tests/fakes/recording_sink.h
@@ -0,0 +1,59 @@
+#ifndef TESTS_FAKES_RECORDING_SINK_H_
+#define TESTS_FAKES_RECORDING_SINK_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+
+namespace kingcupdrift::fakes {
+
+/// What one caller received.
+struct CallRecord {
+  MonotonicTime submitted;
+  std::optional<AnswerStart> start;
+  /// Tokens received; a chunk at another offset sets `has_gap`.
+  std::uint64_t tokens = 0;
+  std::string text;
+  bool has_gap = false;
+  std::optional<MonotonicTime> first_chunk;
+  std::optional<AnswerEnd> end;
+  std::optional<Problem> problem;
+  std::optional<ServiceResponse> response;
+  /// Calls that ended the request; more than one is a fault of the entry.
+  int endings = 0;
+  MonotonicTime ended;
+  /// Bytes that the caller's connection did not take yet.
+  ByteCount unsent;
+
+  bool is_ended() const { return endings > 0; }
+  /// "completed", the problem's outcome, or "pending".
+  std::string outcome() const;
+};
+
+/// Writes into a record that the test keeps.
+class RecordingSink : public CallerSink {
+ public:
+  RecordingSink(std::shared_ptr<CallRecord> record, const Clock& clock);
+
+  void Begin(const AnswerStart& start) override;
+  void Write(const AnswerChunk& chunk) override;
+  void Finish(const AnswerEnd& end) override;
+  void Fail(const Problem& problem) override;
+  void Reply(const ServiceResponse& response) override;
+  ByteCount Unsent() const override { return record_->unsent; }
+
+ private:
+  void CountEnding();
+
+  // Shared with the test, since the entry owns and destroys the sink.
+  std::shared_ptr<CallRecord> record_;
+  const Clock& clock_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_RECORDING_SINK_H_
--- /dev/null
+++ b/tests/fakes/store_model.h
@@ -0,0 +1,121 @@
+#ifndef TESTS_FAKES_STORE_MODEL_H_
+#define TESTS_FAKES_STORE_MODEL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "tests/fakes/deferred_calls.h"
+
+namespace kingcupdrift::fakes {
+
+/// Faults of the store towards every client.
+struct StoreFault {
+  /// Connections are refused; watches break.
+  bool is_down = false;
+  /// Time each call waits at the store before it takes effect.
+  Duration delay{0};
+};
+
+/// Calls that reached the store; a watch counts as one call.
+struct StoreCounters {
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t conflicts = 0;
+};
+
+/// The platform's key-value service without I/O. All entries of a test share
+/// one.
+class StoreModel {
+ public:
+  using Listener = std::function<void(const StoreEvent&)>;
+
+  explicit StoreModel(Clock& clock) : clock_(clock), in_flight_(clock) {}
+
+  std::optional<StoreValue> Get(const std::string& key);
+  std::vector<StoreEntry> List(const std::string& prefix);
+  /// Errors: kConflict; kNotFound for an unknown lease.
+  Result<StoreVersion> CompareAndSwap(const std::string& key,
+                                      StoreVersion expected,
+                                      std::string value,
+                                      LeaseId lease);
+  /// Error: kConflict.
+  Result<StoreVersion> CompareAndDelete(const std::string& key,
+                                        StoreVersion expected);
+  LeaseId GrantLease(Duration time_to_live);
+  /// Errors: kNotFound.
+  Result<void> KeepAlive(LeaseId lease);
+  void Revoke(LeaseId lease);
+
+  /// Calls `listener` for each change below `prefix` above `after`, at once for
+  /// those in the past. Returns a number for StopWatch.
+  std::uint64_t Watch(const std::string& prefix,
+                      StoreVersion after,
+                      Listener listener);
+  void StopWatch(std::uint64_t watch) { watches_.erase(watch); }
+
+  void SetFault(StoreFault fault);
+  const StoreFault& fault() const { return fault_; }
+  /// Calls `broken` for each open watch when the store goes down.
+  std::uint64_t OnDown(std::function<void()> broken);
+  void RemoveOnDown(std::uint64_t id) { on_down_.erase(id); }
+
+  /// The replies to the next `n` writes are lost after their effect.
+  void LoseReplies(int n) { replies_to_lose_ += n; }
+  bool TakeLostReply();
+  /// The next `n` writes take effect only after a further `delay`.
+  void DelayWrites(int n, Duration delay);
+  Duration TakeWriteDelay();
+
+  StoreCounters& counters() { return counters_; }
+  /// Requests on their way; they arrive even if the sender dies.
+  DeferredCalls& in_flight() { return in_flight_; }
+
+ private:
+  struct Item {
+    StoreValue value;
+    LeaseId lease;
+  };
+  struct Lease {
+    Duration time_to_live{0};
+    std::set<std::string> keys;
+    std::unique_ptr<Timer> timer;
+  };
+  struct WatchRow {
+    std::string prefix;
+    Listener listener;
+  };
+
+  StoreVersion VersionOf(const std::string& key) const;
+  void Detach(const std::string& key);
+  void Delete(const std::string& key);
+  void Publish(const StoreEvent& event);
+
+  Clock& clock_;
+  DeferredCalls in_flight_;
+  StoreFault fault_;
+  StoreVersion version_;
+  std::map<std::string, Item> items_;
+  std::map<LeaseId, Lease> leases_;
+  LeaseId last_lease_;
+  std::vector<StoreEvent> history_;
+  std::uint64_t next_id_ = 0;
+  std::map<std::uint64_t, WatchRow> watches_;
+  std::map<std::uint64_t, std::function<void()>> on_down_;
+  int replies_to_lose_ = 0;
+  int writes_to_delay_ = 0;
+  Duration write_delay_{0};
+  StoreCounters counters_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_STORE_MODEL_H_
--- /dev/null
+++ b/tests/models/fake_store_test.cc
@@ -0,0 +1,127 @@
+#include "tests/fakes/fake_store.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/fakes/freezable_clock.h"
+#include "tests/fakes/manual_clock.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Bench {
+  Result<StoreVersion> Swap(FakeStore& store,
+                            const std::string& key,
+                            std::int64_t expected,
+                            const std::string& value,
+                            LeaseId lease = LeaseId(0)) {
+    std::optional<Result<StoreVersion>> written;
+    store.CompareAndSwap(key, StoreVersion(expected), value, lease,
+                         [&](const auto& result) { written = result; });
+    clock.AdvanceUntil([&] { return written.has_value(); }, seconds(20));
+    return *written;
+  }
+
+  ManualClock clock;
+  StoreModel model{clock};
+  FakeStore a{{}, model, clock};
+  FakeStore b{{}, model, clock};
+};
+
+TEST_CASE("Of two writers with one version one wins [models]") {
+  Bench bench;
+  const auto first = bench.Swap(bench.a, "k", 0, "a");
+  REQUIRE(first);
+  CHECK(bench.Swap(bench.b, "k", 0, "b").error().code == ErrorCode::kConflict);
+  CHECK(bench.Swap(bench.b, "k", first->value(), "b"));
+  CHECK(bench.model.Get("k")->value == "b");
+}
+
+TEST_CASE("A lost reply hides a write that took effect [models]") {
+  Bench bench;
+  bench.model.LoseReplies(1);
+  CHECK(bench.Swap(bench.a, "k", 0, "a").error().code ==
+        ErrorCode::kUnknownEffect);
+  CHECK(bench.model.Get("k").has_value());
+}
+
+TEST_CASE("A late write takes effect after its caller gave up [models]") {
+  Bench bench;
+  bench.model.DelayWrites(1, seconds(10));
+  CHECK(bench.Swap(bench.a, "k", 0, "a").error().code ==
+        ErrorCode::kUnknownEffect);
+  CHECK(!bench.model.Get("k").has_value());
+  bench.clock.Advance(seconds(10));
+  CHECK(bench.model.Get("k").has_value());
+}
+
+TEST_CASE("A key vanishes with its lease and a watch tells [models]") {
+  Bench bench;
+  const LeaseId lease = bench.model.GrantLease(seconds(3));
+  REQUIRE(bench.Swap(bench.a, "dir/k", 0, "a", lease));
+  std::vector<StoreEvent> events;
+  const auto watch = bench.b.Watch("dir/", StoreVersion(0), [&](const auto& e) {
+    REQUIRE(e);
+    events.push_back(*e);
+  });
+  bench.clock.Advance(seconds(2));
+  CHECK(bench.model.KeepAlive(lease));
+  bench.clock.Advance(seconds(2));
+  CHECK(events.size() == 1);
+  bench.clock.Advance(seconds(2));
+  REQUIRE(events.size() == 2);
+  CHECK(!events[1].value);
+  CHECK(!bench.model.KeepAlive(lease));
+}
+
+TEST_CASE("A store that is down sends nothing and breaks watches [models]") {
+  Bench bench;
+  std::optional<Error> broken;
+  const auto watch = bench.a.Watch("k", StoreVersion(0), [&](const auto& e) {
+    if (!e) {
+      broken = e.error();
+    }
+  });
+  bench.model.SetFault({.is_down = true});
+  CHECK(bench.Swap(bench.a, "k", 0, "a").error().code ==
+        ErrorCode::kUnavailable);
+  REQUIRE(broken);
+  CHECK(broken->code == ErrorCode::kConnectionLost);
+  bench.model.SetFault({});
+  CHECK(bench.Swap(bench.a, "k", 0, "a"));
+}
+
+TEST_CASE("Silence strikes one client alone [models]") {
+  Bench bench;
+  bench.a.SetSilentFromStore(true);
+  CHECK(bench.Swap(bench.a, "k", 0, "a").error().code ==
+        ErrorCode::kUnknownEffect);
+  CHECK(bench.Swap(bench.b, "k", 0, "b").error().code == ErrorCode::kConflict);
+}
+
+TEST_CASE("A frozen process runs what fell due once thawed [models]") {
+  ManualClock base;
+  FreezableClock clock(base);
+  std::vector<int> fired;
+  const auto one = clock.RunAfter(seconds(1), [&] { fired.push_back(1); });
+  auto two = clock.RunAfter(seconds(2), [&] { fired.push_back(2); });
+  const auto three = clock.RunAfter(seconds(3), [&] { fired.push_back(3); });
+  clock.Freeze();
+  base.Advance(seconds(5));
+  CHECK(fired.empty());
+  two.reset();
+  clock.Thaw();
+  base.Advance(milliseconds(1));
+  CHECK(fired == std::vector<int>{1, 3});
+}
+
+}  // namespace
+}  // namespace kingcupdrift::fakes
