--- a/src/kingcupdrift/base/base.h
+++ b/src/kingcupdrift/base/base.h
@@ -14,6 +14,7 @@
 #include "kingcupdrift/base/outcome.h"       // IWYU pragma: export
 #include "kingcupdrift/base/quantity.h"      // IWYU pragma: export
 #include "kingcupdrift/base/random.h"        // IWYU pragma: export
+#include "kingcupdrift/base/rendezvous.h"    // IWYU pragma: export
 #include "kingcupdrift/base/shared_bytes.h"  // IWYU pragma: export
 #include "kingcupdrift/base/strong_id.h"     // IWYU pragma: export
 
--- /dev/null
+++ b/src/kingcupdrift/membership/failure_detector.cc
@@ -0,0 +1,81 @@
+#include "kingcupdrift/membership/failure_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupdrift {
+
+FailureDetector::FailureDetector(Clock& clock,
+                                 Random& random,
+                                 FailureDetectorOptions options,
+                                 SendProbe send,
+                                 Report report)
+    : clock_(clock),
+      random_(random),
+      options_(options),
+      send_(std::move(send)),
+      report_(std::move(report)) {}
+
+void FailureDetector::Probe(const InstanceId& target,
+                            std::vector<InstanceId> helpers) {
+  if (IsProbing(target)) {
+    return;
+  }
+  OpenProbe probe;
+  probe.sequence = next_sequence_++;
+  probe.helpers = std::move(helpers);
+  probe.timer_due = clock_.Now() + options_.direct_timeout;
+  probe.timer = clock_.RunAfter(options_.direct_timeout,
+                                [this, target] { OnDirectTimeout(target); });
+  send_(target, ProbeMessage{probe.sequence, target});
+  open_.emplace(target, std::move(probe));
+}
+
+void FailureDetector::OnReply(const InstanceId& target) {
+  const InstanceId id = target;
+  if (open_.erase(id) > 0) {
+    report_(id, true);
+  }
+}
+
+void FailureDetector::OnDirectTimeout(InstanceId target) {
+  OpenProbe& probe = open_.at(target);
+  if (WasPaused(probe)) {
+    Restart(target);
+    return;
+  }
+  for (std::size_t i = 0; i < options_.helper_count && !probe.helpers.empty();
+       ++i) {
+    const std::size_t pick = random_.Below(probe.helpers.size());
+    std::swap(probe.helpers[pick], probe.helpers.back());
+    send_(probe.helpers.back(), ProbeMessage{probe.sequence, target});
+    probe.helpers.pop_back();
+  }
+  // The direct probe is repeated, since one lost message is no evidence.
+  send_(target, ProbeMessage{probe.sequence, target});
+  const Duration rest = options_.indirect_timeout - options_.direct_timeout;
+  probe.timer_due = clock_.Now() + rest;
+  probe.timer =
+      clock_.RunAfter(rest, [this, target] { OnIndirectTimeout(target); });
+}
+
+void FailureDetector::OnIndirectTimeout(InstanceId target) {
+  if (WasPaused(open_.at(target))) {
+    Restart(target);
+    return;
+  }
+  open_.erase(target);
+  report_(target, false);
+}
+
+void FailureDetector::Restart(const InstanceId& target) {
+  std::vector<InstanceId> helpers = std::move(open_.at(target).helpers);
+  open_.erase(target);
+  Probe(target, std::move(helpers));
+}
+
+bool FailureDetector::WasPaused(const OpenProbe& probe) const {
+  return clock_.Now() - probe.timer_due > options_.pause_threshold;
+}
+
+}  // namespace kingcupdrift
