--- /dev/null
+++ b/src/kingcupdrift/net/entry_process.h
@@ -0,0 +1,19 @@
+#ifndef KINGCUPDRIFT_NET_ENTRY_PROCESS_H_
+#define KINGCUPDRIFT_NET_ENTRY_PROCESS_H_
+
+#include "kingcupdrift/entry/entry.h"
+
+namespace kingcupdrift {
+
+/// Exit codes of `RunEntryProcess`.
+inline constexpr int kExitSuccess = 0;
+inline constexpr int kExitCannotListen = 3;
+inline constexpr int kExitDrainLimit = 4;
+
+/// Runs one entry instance until a SIGTERM or SIGINT has been answered by a
+/// graceful shutdown. Returns the process's exit code.
+int RunEntryProcess(const EntrySettings& settings);
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_ENTRY_PROCESS_H_
--- /dev/null
+++ b/src/kingcupdrift/net/http_server.h
@@ -0,0 +1,92 @@
+#ifndef KINGCUPDRIFT_NET_HTTP_SERVER_H_
+#define KINGCUPDRIFT_NET_HTTP_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/net/event_loop.h"
+
+namespace kingcupdrift {
+
+struct HttpServerSettings {
+  /// Requests with larger headers are answered with 400.
+  ByteCount max_header_bytes{32 * 1024};
+  /// Requests with a larger body are answered with 413.
+  ByteCount max_body_bytes{8 * 1024 * 1024};
+  /// A connection is closed after this long without a byte while a request is
+  /// incomplete, an answer is not taken, or nothing is asked.
+  Duration silence_limit = std::chrono::seconds(60);
+};
+
+/// One request and its answer. Answer by `Respond`, or by `StartChunked`,
+/// `WriteChunk` and `EndChunked`. Destroying it before the answer's end closes
+/// the connection.
+class HttpExchange {
+ public:
+  virtual ~HttpExchange() = default;
+
+  /// "GET", "POST" and so on.
+  virtual const std::string& method() const = 0;
+  /// Path and query, as sent.
+  virtual const std::string& target() const = 0;
+  virtual const HeaderList& headers() const = 0;
+  /// The request's body; never null. At least `kBodyPadding` bytes of capacity
+  /// follow its last byte, as the JSON parser wants.
+  virtual const SharedBytes& body() const = 0;
+
+  virtual void Respond(int status,
+                       const HeaderList& headers,
+                       SharedBytes body) = 0;
+  virtual void StartChunked(int status, const HeaderList& headers) = 0;
+  virtual void WriteChunk(std::string_view bytes) = 0;
+  virtual void EndChunked() = 0;
+
+  /// The connection is gone; writes have no effect.
+  virtual bool IsClosed() const = 0;
+  /// Bytes written that the connection has not taken.
+  virtual ByteCount Unsent() const = 0;
+  /// Called once, on the loop, when the caller closes or the connection fails
+  /// before the answer's end. The exchange may be destroyed inside.
+  virtual void OnClosed(std::function<void()> callback) = 0;
+  /// Called whenever all that was written has been taken.
+  virtual void OnDrained(std::function<void()> callback) = 0;
+
+  /// Value of the first header `name`, in any case; empty without one.
+  std::string_view Header(std::string_view name) const;
+  /// The target up to its query.
+  std::string_view Path() const;
+  /// Decoded value of a query parameter; absent without one.
+  std::optional<std::string> QueryParameter(std::string_view name) const;
+  /// Responds with a short body.
+  void RespondText(int status, std::string_view content_type, std::string text);
+
+  static constexpr std::size_t kBodyPadding = 64;
+};
+
+/// An HTTP/1.1 server on the loop.
+class HttpServer {
+ public:
+  using Handler = std::function<void(std::unique_ptr<HttpExchange>)>;
+
+  virtual ~HttpServer() = default;
+
+  /// Listens at `endpoint`; port 0 takes a free one. kUnavailable if the
+  /// address cannot be bound.
+  static Result<std::unique_ptr<HttpServer>> Listen(
+      EventLoop& loop,
+      const Endpoint& endpoint,
+      const HttpServerSettings& settings,
+      Handler handler);
+
+  /// The address in use, with the real port.
+  virtual Endpoint endpoint() const = 0;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_HTTP_SERVER_H_
