--- a/src/kingcupdrift/config/config.h
+++ b/src/kingcupdrift/config/config.h
@@ -2,8 +2,16 @@
 #define KINGCUPDRIFT_CONFIG_CONFIG_H_
 
 /// @file
-/// Public header of the operators' configuration.
+/// Public header of the operators' configuration: documents, their merge and
+/// checks, the chain of approved heads, and the follower that keeps the newest
+/// one in force.
 
-#include "kingcupdrift/config/site_config.h"  // IWYU pragma: export
+#include "kingcupdrift/config/config_documents.h"  // IWYU pragma: export
+#include "kingcupdrift/config/config_error.h"      // IWYU pragma: export
+#include "kingcupdrift/config/config_follower.h"   // IWYU pragma: export
+#include "kingcupdrift/config/config_head.h"       // IWYU pragma: export
+#include "kingcupdrift/config/config_store.h"      // IWYU pragma: export
+#include "kingcupdrift/config/parse_config.h"      // IWYU pragma: export
+#include "kingcupdrift/config/site_config.h"       // IWYU pragma: export
 
 #endif  // KINGCUPDRIFT_CONFIG_CONFIG_H_
