Publish the headers of routing and admission

The entry is written against these while they are implemented. Weighed: one policy call that returns a route (hides sampling and groups from baselines) against a policy that only picks an index from a view of candidates; the second keeps baselines a few lines each.

--- /dev/null
+++ b/src/kingcupdrift/admission/admission_controller.h
@@ -0,0 +1,92 @@
+#ifndef KINGCUPDRIFT_ADMISSION_ADMISSION_CONTROLLER_H_
+#define KINGCUPDRIFT_ADMISSION_ADMISSION_CONTROLLER_H_
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+
+namespace kingcupdrift {
+
+/// Why a request is not admitted; it was not run.
+struct Refusal {
+  /// kWorkspaceLimit, kQueueFull, kDeadlineInfeasible, kDeadlineExceeded,
+  /// kNotFound (unknown service) or kUnauthorized (not allowed to use it).
+  ProblemType type = ProblemType::kQueueFull;
+  /// From the backlog and the drain rate, or from the workspace's limit.
+  Duration retry_after{0};
+};
+
+/// What admission needs to know of a request.
+struct AdmissionRequest {
+  WorkspaceId workspace;
+  ServiceId service;
+  /// Prompt and output tokens; zero for plain services.
+  TokenCount tokens;
+  MonotonicTime deadline;
+  /// Expected time from the dispatch to the last token (`RouteEstimate`).
+  Duration predicted_total{0};
+};
+
+/// Decides at arrival whether a request may enter, and again before dispatch.
+///
+/// Limits of a workspace hold over all entries: peers exchange running totals.
+/// With N entries that gossip with delay D, the requests admitted over a long
+/// time exceed the limit by at most the burst of one second plus what N-1
+/// entries admit within D.
+class AdmissionController {
+ public:
+  AdmissionController(const Clock& clock, InstanceId instance);
+  ~AdmissionController();
+
+  void ApplyConfig(const SiteConfig& config);
+
+  /// Running totals of another entry.
+  void OnPeerUsage(const InstanceId& peer,
+                   const std::vector<WorkspaceUsage>& usage);
+  /// A peer is gone for good; its totals count no more.
+  void ForgetPeer(const InstanceId& peer);
+  /// Own totals, at most `max_items`: those that changed longest ago unsent
+  /// first, so that repeated calls cover all workspaces.
+  std::vector<WorkspaceUsage> LocalUsage(std::size_t max_items);
+
+  /// Decides at arrival. On success the workspace's usage is charged and the
+  /// request counts as waiting until `OnStarted` or `OnAbandoned`.
+  tl::expected<void, Refusal> Admit(const AdmissionRequest& request);
+
+  /// Decides again right before dispatch, with the estimate of the chosen
+  /// route. Charges nothing.
+  tl::expected<void, Refusal> CheckBeforeDispatch(
+      const AdmissionRequest& request) const;
+
+  /// An admitted request left the queue towards an engine.
+  void OnStarted(const AdmissionRequest& request);
+  /// An admitted request left the queue without running; what it was charged is
+  /// given back.
+  void OnAbandoned(const AdmissionRequest& request);
+
+  /// Time until the backlog of `service` has drained at the measured rate.
+  Duration DrainTime(const ServiceId& service) const;
+
+  /// Engines' prefill speed available to this entry, tokens a second; used
+  /// until a drain rate has been measured.
+  void SetCapacity(const ServiceId& service, double tokens_per_second);
+
+  std::size_t Waiting(const ServiceId& service) const;
+
+  /// Burst that a workspace may use at once, in time at its limit.
+  static constexpr Duration kBurst = std::chrono::seconds(1);
+  static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
+  static constexpr Duration kMaxRetryAfter = std::chrono::minutes(5);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ADMISSION_ADMISSION_CONTROLLER_H_
--- /dev/null
+++ b/src/kingcupdrift/routing/hedge_policy.h
@@ -0,0 +1,36 @@
+#ifndef KINGCUPDRIFT_ROUTING_HEDGE_POLICY_H_
+#define KINGCUPDRIFT_ROUTING_HEDGE_POLICY_H_
+
+#include <array>
+#include <cstddef>
+#include <optional>
+
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift {
+
+/// Decides when a second attempt of an idempotent short call starts. The caller
+/// must also take the attempt from the service's `RetryBudget`.
+class HedgePolicy {
+ public:
+  /// Records the time to the first token, or to the answer, of a finished call.
+  void OnAnswered(Duration time);
+
+  /// Wait before a second attempt: the observed 95th percentile. Empty without
+  /// hedging: not idempotent, too long, or too few observations.
+  std::optional<Duration> DelayFor(bool is_idempotent,
+                                   TokenCount prompt_tokens) const;
+
+  static constexpr TokenCount kMaxPrompt{8000};
+  static constexpr std::size_t kMinObservations = 20;
+
+ private:
+  static constexpr std::size_t kWindow = 128;
+
+  std::array<Duration, kWindow> times_{};
+  std::size_t count_ = 0;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ROUTING_HEDGE_POLICY_H_
--- /dev/null
+++ b/src/kingcupdrift/routing/routing.h
@@ -0,0 +1,15 @@
+#ifndef KINGCUPDRIFT_ROUTING_ROUTING_H_
+#define KINGCUPDRIFT_ROUTING_ROUTING_H_
+
+/// @file
+/// Public header of routing: which engine or engine group runs a request, and
+/// when a failed attempt may be repeated. Nothing here performs I/O.
+
+#include "kingcupdrift/routing/hedge_policy.h"     // IWYU pragma: export
+#include "kingcupdrift/routing/outlier_ejector.h"  // IWYU pragma: export
+#include "kingcupdrift/routing/retry.h"            // IWYU pragma: export
+#include "kingcupdrift/routing/route.h"            // IWYU pragma: export
+#include "kingcupdrift/routing/router.h"           // IWYU pragma: export
+#include "kingcupdrift/routing/routing_policy.h"   // IWYU pragma: export
+
+#endif  // KINGCUPDRIFT_ROUTING_ROUTING_H_
