--- /dev/null
+++ b/src/kingcupdrift/engines/engines.h
@@ -0,0 +1,12 @@
+#ifndef KINGCUPDRIFT_ENGINES_ENGINES_H_
+#define KINGCUPDRIFT_ENGINES_ENGINES_H_
+
+/// @file
+/// Public header of engine memory, leases and placement orders.
+
+#include "kingcupdrift/engines/group_reserver.h"        // IWYU pragma: export
+#include "kingcupdrift/engines/holding_sweeper.h"       // IWYU pragma: export
+#include "kingcupdrift/engines/lease_keeper.h"          // IWYU pragma: export
+#include "kingcupdrift/engines/placement_controller.h"  // IWYU pragma: export
+
+#endif  // KINGCUPDRIFT_ENGINES_ENGINES_H_
--- /dev/null
+++ b/src/kingcupdrift/store/budgeted_store.h
@@ -0,0 +1,67 @@
+#ifndef KINGCUPDRIFT_STORE_BUDGETED_STORE_H_
+#define KINGCUPDRIFT_STORE_BUDGETED_STORE_H_
+
+#include <memory>
+#include <string>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/store/store_budget.h"
+
+namespace kingcupdrift {
+
+/// The platform's store within a budget. One object for each priority, all
+/// sharing one `StoreBudget`. A call that the budget refuses ends with
+/// kUnavailable: nothing was sent. Callbacks do not run after destruction.
+class BudgetedStore : public PlatformStore {
+ public:
+  /// All references outlive the object.
+  BudgetedStore(Clock& clock,
+                PlatformStore& store,
+                StoreBudget& budget,
+                StorePriority priority);
+  ~BudgetedStore() override;
+  BudgetedStore(const BudgetedStore&) = delete;
+  BudgetedStore& operator=(const BudgetedStore&) = delete;
+
+  void Get(const std::string& key, GetCallback callback) override;
+  void List(const std::string& prefix, ListCallback callback) override;
+  void CompareAndSwap(const std::string& key,
+                      StoreVersion expected,
+                      std::string value,
+                      LeaseId lease,
+                      WriteCallback callback) override;
+  void CompareAndDelete(const std::string& key,
+                        StoreVersion expected,
+                        WriteCallback callback) override;
+  void GrantLease(Duration time_to_live, LeaseCallback callback) override;
+  void KeepAlive(LeaseId lease, DoneCallback callback) override;
+  void Revoke(LeaseId lease, DoneCallback callback) override;
+  /// A watch beyond the budget gets kOverloaded from its callback.
+  std::unique_ptr<StoreWatch> Watch(const std::string& prefix,
+                                    StoreVersion after,
+                                    WatchCallback callback) override;
+
+ private:
+  struct Deferred;
+
+  template <typename T>
+  std::function<void(Result<T>)> Counted(
+      std::function<void(Result<T>)> callback);
+  template <typename T, typename Call>
+  void Run(StoreCallKind kind,
+           std::function<void(Result<T>)> callback,
+           Call call);
+  void Defer(std::function<void()> action);
+
+  Clock& clock_;
+  PlatformStore& store_;
+  StoreBudget& budget_;
+  StorePriority priority_;
+  // Callbacks that wait for the loop; dropped with the object.
+  std::shared_ptr<Deferred> deferred_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_STORE_BUDGETED_STORE_H_
--- /dev/null
+++ b/src/kingcupdrift/streaming/stream_session.h
@@ -0,0 +1,127 @@
+#ifndef KINGCUPDRIFT_STREAMING_STREAM_SESSION_H_
+#define KINGCUPDRIFT_STREAMING_STREAM_SESSION_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/streaming/reassembler.h"
+
+namespace kingcupdrift {
+
+struct StreamLimits {
+  /// Longest silence after the first chunk of a connection.
+  Duration progress_timeout = std::chrono::seconds(2);
+  /// Longest silence before the first chunk, unless the start says otherwise.
+  Duration first_chunk_timeout = std::chrono::seconds(10);
+  /// Resumptions in a row without a new token before the engine counts as lost.
+  int max_resumes = 2;
+  ReassemblerLimits reassembler;
+};
+
+/// How an attempt ended without a whole answer.
+struct AttemptFailure {
+  Error error;
+  EngineId engine;
+  AttemptId attempt;
+  /// False only if the engine provably did not take the attempt.
+  bool may_have_run = true;
+  /// The engine declined and is healthy: route elsewhere without ejecting it.
+  bool is_declined = false;
+  /// Another attempt can go on from what was delivered.
+  bool can_fail_over = true;
+};
+
+/// Events of one answer. After OnFinished no more follow. OnAttemptFailed ends
+/// only the attempt: the observer may then call `StartAttempt` again, from
+/// inside the call too. The observer may destroy the session inside any call.
+class StreamSessionObserver {
+ public:
+  virtual ~StreamSessionObserver() = default;
+  virtual void OnAccepted(TokenCount cached) = 0;
+  /// Chunks come in order, without gap or overlap, over all attempts.
+  virtual void OnChunk(const AnswerChunk& chunk) = 0;
+  virtual void OnFinished(const AnswerEnd& end) = 0;
+  /// A connection went silent or broke and the stream is resumed over a new
+  /// one. For metrics and the time line.
+  virtual void OnResumed(std::uint64_t offset) = 0;
+  virtual void OnAttemptFailed(const AttemptFailure& failure) = 0;
+};
+
+/// One answer, put together from one or more attempts at engines. A silent or
+/// broken connection is resumed over a new one; an engine that does not answer
+/// that is given up and reported, and a further attempt goes on from the prompt
+/// plus the text delivered.
+class StreamSession : private EngineStreamObserver {
+ public:
+  /// All references outlive the session.
+  StreamSession(Clock& clock,
+                EngineClient& engines,
+                StreamSessionObserver& observer,
+                StreamLimits limits = {});
+  /// Closes the connection and cancels the running attempt at its engine.
+  ~StreamSession() override;
+  StreamSession(const StreamSession&) = delete;
+  StreamSession& operator=(const StreamSession&) = delete;
+
+  /// Starts an attempt. The session fills in `emitted_text` and
+  /// `emitted_tokens`. The attempt must be new; an earlier one is cancelled.
+  void StartAttempt(const EngineAddress& engine,
+                    EngineStreamRequest request,
+                    std::optional<Duration> first_chunk_timeout = {});
+
+  /// Takes over a running attempt, of which the caller has `offset` tokens.
+  void Attach(const EngineAddress& engine,
+              const AttemptId& attempt,
+              std::uint64_t offset);
+
+  /// Stops or restarts reading for a slow caller. No timeout runs while paused.
+  void SetPaused(bool is_paused);
+  /// Cancels the running attempt at its engine; no event follows.
+  void Stop();
+  /// Closes the connection without cancelling, so that another entry can take
+  /// the attempt over; no event follows.
+  void Detach();
+
+  const Reassembler& answer() const { return answer_; }
+  bool is_running() const { return engine_.has_value(); }
+
+ private:
+  void OnAccepted(TokenCount cached) override;
+  void OnChunk(EngineChunk chunk) override;
+  void OnFinished(FinishReason reason, std::uint64_t total_tokens) override;
+  void OnFailed(Error error) override;
+
+  void CloseStream();
+  void CancelAttempt();
+  void ArmTimer();
+  void Resume(Error cause);
+  void OpenResumed();
+  void FailAttempt(Error error);
+  bool Deliver(const std::vector<AnswerChunk>& chunks);
+
+  Clock& clock_;
+  EngineClient& engines_;
+  StreamSessionObserver& observer_;
+  StreamLimits limits_;
+  Reassembler answer_;
+  std::optional<EngineAddress> engine_;
+  std::unique_ptr<EngineStream> stream_;
+  // Streams closed inside their own event; freed by a later event of the loop.
+  std::unique_ptr<EngineStream> closing_stream_;
+  std::unique_ptr<Timer> progress_timer_;
+  std::unique_ptr<Timer> resume_timer_;
+  Duration first_chunk_timeout_{0};
+  bool is_accepted_ = false;
+  bool has_chunk_ = false;
+  bool is_paused_ = false;
+  int resumes_without_progress_ = 0;
+  // Checked after observer calls, which may destroy the session.
+  std::shared_ptr<bool> is_alive_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_STREAMING_STREAM_SESSION_H_
