Assemble streams exactly and resume them

Reassembler delivers each token offset once, in order, from the current attempt. A chunk that straddles the delivered offset cannot be cut, because text has no token boundaries, so it asks for a resumption instead.

StreamSession resumes a silent or broken connection over a new one and gives the engine up after two resumptions without a token. Resetting that count on every acceptance was tried on paper and dropped: a connection that is taken and breaks at once would loop without a pause.

--- a/src/kingcupdrift/streaming/reassembler.h
+++ b/src/kingcupdrift/streaming/reassembler.h
@@ -25,8 +25,9 @@
   kDuplicate,
   /// From an attempt that is not the current one.
   kOtherAttempt,
-  /// Begins before the delivered offset and ends after it. Text has no token
-  /// boundaries to cut at: resume from `emitted_tokens()`.
+  /// This or a buffered chunk begins before the delivered offset and ends after
+  /// it. Text has no token boundaries to cut at: deliver `ready`, then resume
+  /// from `emitted_tokens()`.
   kStraddles,
   /// Too much is buffered: resume from `emitted_tokens()`.
   kOverflow,
@@ -68,9 +69,9 @@
   ByteCount buffered_bytes() const { return buffered_bytes_; }
 
  private:
-  bool IsCovered(const EngineChunk& chunk) const;
-  bool IsFull(const EngineChunk& chunk) const;
-  void Drain(std::vector<AnswerChunk>& ready);
+  AcceptStatus Buffer(EngineChunk chunk);
+  void Emit(EngineChunk chunk, std::vector<AnswerChunk>& ready);
+  AcceptStatus Drain(std::vector<AnswerChunk>& ready);
 
   ReassemblerLimits limits_;
   AttemptId attempt_;
--- a/src/kingcupdrift/streaming/stream_session.h
+++ b/src/kingcupdrift/streaming/stream_session.h
@@ -35,8 +35,9 @@
 };
 
 /// Events of one answer. After OnFinished no more follow. OnAttemptFailed ends
-/// only the attempt: the observer may then call `StartAttempt` again, from
-/// inside the call too. The observer may destroy the session inside any call.
+/// only the attempt: the observer may then call `StartAttempt` again, inside
+/// that call or later. The observer may destroy or stop the session inside any
+/// call.
 class StreamSessionObserver {
  public:
   virtual ~StreamSessionObserver() = default;
@@ -54,6 +55,8 @@
 /// broken connection is resumed over a new one; an engine that does not answer
 /// that is given up and reported, and a further attempt goes on from the prompt
 /// plus the text delivered.
+///
+/// Streams are closed inside their own events; engine clients must allow that.
 class StreamSession : private EngineStreamObserver {
  public:
   /// All references outlive the session.
@@ -98,7 +101,6 @@
   void CancelAttempt();
   void ArmTimer();
   void Resume(Error cause);
-  void OpenResumed();
   void FailAttempt(Error error);
   bool Deliver(const std::vector<AnswerChunk>& chunks);
 
@@ -109,13 +111,10 @@
   Reassembler answer_;
   std::optional<EngineAddress> engine_;
   std::unique_ptr<EngineStream> stream_;
-  // Streams closed inside their own event; freed by a later event of the loop.
-  std::unique_ptr<EngineStream> closing_stream_;
   std::unique_ptr<Timer> progress_timer_;
-  std::unique_ptr<Timer> resume_timer_;
   Duration first_chunk_timeout_{0};
   bool is_accepted_ = false;
-  bool has_chunk_ = false;
+  bool has_progress_ = false;
   bool is_paused_ = false;
   int resumes_without_progress_ = 0;
   // Checked after observer calls, which may destroy the session.
