Add the entry: the state machine that joins the libraries

Cause: the libraries need one object that turns a caller's request into decisions, and that a test can build with fakes.

Weighed: one class for all calls grew unreadable on paper; instead each kind of request (completion, resumed stream, idempotent and non-idempotent call) is one state machine that ends exactly once through its base, with the deadline armed from arrival. POST calls that are not marked are repeated only if nothing was sent, since HTTP does not call them idempotent.

--- /dev/null
+++ b/src/kingcupdrift/entry/internal/completion_request.h
@@ -0,0 +1,90 @@
+#ifndef KINGCUPDRIFT_ENTRY_INTERNAL_COMPLETION_REQUEST_H_
+#define KINGCUPDRIFT_ENTRY_INTERNAL_COMPLETION_REQUEST_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "kingcupdrift/entry/internal/dispatcher.h"
+#include "kingcupdrift/entry/internal/request.h"
+#include "kingcupdrift/streaming/streaming.h"
+
+namespace kingcupdrift {
+
+/// A completion: waits in the fair queue, reserves an engine group if it needs
+/// one, streams from an engine, and goes on at another engine when one fails.
+/// Generation is idempotent, so that it may be repeated within the budget.
+class CompletionRequest : public Request,
+                          private QueuedWork,
+                          private StreamSessionObserver {
+ public:
+  CompletionRequest(EntryContext& context,
+                    RequestInfo info,
+                    CompletionCall call,
+                    std::unique_ptr<CallerSink> sink);
+  ~CompletionRequest() override;
+
+  void OnCallerDrained() override;
+  bool Uses(const AttemptId& attempt) const override;
+
+ private:
+  /// Where the request stands; each state but kEnded is bounded by the
+  /// deadline.
+  enum class State { kNew, kQueued, kReserving, kStreaming, kBackoff, kEnded };
+
+  // Request:
+  void OnStart() override;
+  void OnDeadline() override;
+  void OnCallerGone() override;
+
+  // QueuedWork:
+  DispatchResult TryDispatch() override;
+
+  // StreamSessionObserver:
+  void OnAccepted(TokenCount cached) override;
+  void OnChunk(const AnswerChunk& chunk) override;
+  void OnFinished(const AnswerEnd& end) override;
+  void OnResumed(std::uint64_t offset) override;
+  void OnAttemptFailed(const AttemptFailure& failure) override;
+
+  void Enqueue();
+  DispatchResult OnNoRoute(const Error& error);
+  void Dispatch(Route route);
+  void ReserveGroup();
+  void OnReserved(const Result<void>& reserved);
+  void OnReservationLost(const Error& error);
+  void StartStream();
+  EngineStreamRequest MakeEngineRequest() const;
+  void BeginAnswer();
+  void EndAttempt(AttemptResult result);
+  void RetryOrFail(const AttemptFailure& failure);
+  void RetryAfter(Duration delay);
+  void GiveUp(ProblemType type, const std::string& detail);
+  /// Releases everything held outside this object; idempotent.
+  void ReleaseAll(AttemptResult result);
+  RouteRequest MakeRouteRequest() const;
+  AdmissionRequest MakeAdmissionRequest(Duration predicted_total) const;
+  bool HasNoEngineForTooLong();
+
+  CompletionCall call_;
+  TokenCount max_output_;
+  State state_ = State::kNew;
+  AttemptId attempt_;
+  std::optional<Route> route_;
+  ReservationId reservation_;
+  std::unique_ptr<StreamSession> session_;
+  std::vector<EngineId> excluded_;
+  std::unique_ptr<Timer> retry_timer_;
+  std::optional<MonotonicTime> no_engine_since_;
+  TokenCount cached_;
+  int retries_ = 0;
+  bool is_admitted_ = false;
+  bool was_started_ = false;
+  bool may_have_run_ = false;
+  bool has_begun_answer_ = false;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENTRY_INTERNAL_COMPLETION_REQUEST_H_
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -0,0 +1,336 @@
+#include "kingcupdrift/entry/internal/entry_impl.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace kingcupdrift {
+namespace {
+
+constexpr Logger kLog("entry");
+
+/// Interval of housekeeping: capacity, metrics, queue.
+constexpr Duration kTickInterval = std::chrono::seconds(1);
+constexpr Duration kJournalSweepInterval = std::chrono::minutes(1);
+/// Peers told at once of a new configuration.
+constexpr std::size_t kConfigFanout = 3;
+/// Workspaces whose usage goes into one gossip message.
+constexpr std::size_t kUsagePerGossip = 16;
+/// Key of the lease whose holder gives placement orders.
+constexpr const char* kPlacementLeaseKey = "/kingcupdrift/lease/placement/";
+
+MemberRecord MakeSelf(const EntrySettings& settings, const Clock& clock) {
+  MemberRecord self;
+  self.id = settings.instance;
+  // Milliseconds of the wall clock grow over restarts without any disk.
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock.WallNow().time_since_epoch());
+  self.incarnation = Incarnation(now.count());
+  self.peer_endpoint = settings.peer_endpoint;
+  self.caller_endpoint = settings.caller_endpoint;
+  self.failure_domain = settings.failure_domain;
+  return self;
+}
+
+RouterSettings MakeRouterSettings(const EntrySettings& settings) {
+  RouterSettings router;
+  router.instance = settings.instance;
+  router.failure_domain = settings.failure_domain;
+  return router;
+}
+
+EventKind KindOfMember(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return EventKind::kMemberJoined;
+    case MemberState::kSuspect:
+      return EventKind::kMemberSuspected;
+    case MemberState::kLeaving:
+      return EventKind::kMemberLeft;
+    case MemberState::kDead:
+      return EventKind::kMemberDied;
+  }
+  return EventKind::kMemberDied;
+}
+
+}  // namespace
+
+Entry::Impl::Impl(EntrySettings settings, EntryDependencies dependencies)
+    : settings_(std::move(settings)),
+      dependencies_(dependencies),
+      hybrid_clock_(dependencies.clock),
+      events_(settings_.instance, hybrid_clock_),
+      store_budget_(dependencies.clock, dependencies.random),
+      journal_store_(dependencies.clock,
+                     dependencies.store,
+                     store_budget_,
+                     StorePriority::kJournal),
+      config_store_(dependencies.clock,
+                    dependencies.store,
+                    store_budget_,
+                    StorePriority::kConfig),
+      lease_store_(dependencies.clock,
+                   dependencies.store,
+                   store_budget_,
+                   StorePriority::kLease),
+      membership_(MakeSelf(settings_, dependencies.clock),
+                  MembershipOptions(),
+                  dependencies.clock,
+                  dependencies.random,
+                  hybrid_clock_,
+                  dependencies.peers,
+                  dependencies.instances),
+      config_(settings_.site,
+              dependencies.clock,
+              dependencies.random,
+              config_store_,
+              [this](const Endpoint& peer, const ConfigRequestMessage& ask) {
+                membership_.SendTo(peer, ask);
+              }),
+      router_(MakeRouterSettings(settings_),
+              dependencies.clock,
+              dependencies.random),
+      admission_(dependencies.clock, settings_.instance),
+      journal_(dependencies.clock,
+               dependencies.random,
+               journal_store_,
+               settings_.instance),
+      reserver_(dependencies.clock,
+                dependencies.random,
+                dependencies.engines,
+                settings_.instance),
+      lease_(dependencies.clock,
+             dependencies.random,
+             lease_store_,
+             kPlacementLeaseKey + settings_.site.value(),
+             settings_.instance),
+      placement_(dependencies.clock, dependencies.engines, lease_),
+      sweeper_(dependencies.clock,
+               dependencies.engines,
+               *this,
+               settings_.instance),
+      targets_(dependencies.clock, dependencies.random),
+      dispatcher_(dependencies.clock),
+      poller_(dependencies.clock,
+              dependencies.random,
+              dependencies.engines,
+              router_,
+              [this] { dispatcher_.Wake(); }),
+      requests_(dependencies.clock),
+      context_{settings_,
+               dependencies.clock,
+               dependencies.random,
+               dependencies.engines,
+               dependencies.services,
+               events_,
+               metrics_,
+               membership_,
+               config_,
+               router_,
+               admission_,
+               journal_,
+               reserver_,
+               dispatcher_,
+               requests_,
+               policies_,
+               targets_} {
+  ConnectSignals();
+}
+
+Entry::Impl::~Impl() {
+  dependencies_.peers.SetReceiver({});
+}
+
+void Entry::Impl::ConnectSignals() {
+  membership_.SetFillGossip(
+      [this](GossipMessage& gossip) { FillGossip(gossip); });
+  membership_.signal_gossip_received().connect(
+      [this](const InstanceId& sender, const GossipMessage& gossip) {
+        OnGossip(sender, gossip);
+      });
+  membership_.signal_member_changed().connect(
+      [this](const MemberRecord& record) { OnMemberChanged(record); });
+  membership_.signal_asked_to_leave().connect([this] { StartDrain(); });
+  config_.signal_applied().connect(
+      [this](const SiteConfig& config) { OnConfigApplied(config); });
+  dependencies_.peers.SetReceiver(
+      [this](const PeerMessage& message) { OnPeerMessage(message); });
+}
+
+void Entry::Impl::Start() {
+  membership_.Start(settings_.seed_peers);
+  config_.Start();
+  sweeper_.Start();
+  placement_.Start();
+  lease_.Start([this](bool is_held) {
+    events_.Add(is_held ? EventKind::kLeaseTaken : EventKind::kLeaseLost,
+                kPlacementLeaseKey);
+  });
+  Tick();
+  SweepJournal();
+}
+
+void Entry::Impl::OnPeerMessage(const PeerMessage& message) {
+  hybrid_clock_.Observe(message.time);
+  const MemberRecord* sender = membership_.table().Find(message.sender);
+  if (const auto* ask = std::get_if<ConfigRequestMessage>(&message.payload)) {
+    if (sender != nullptr) {
+      membership_.SendTo(sender->peer_endpoint, config_.OnConfigRequest(*ask));
+    }
+  } else if (const auto* reply =
+                 std::get_if<ConfigReplyMessage>(&message.payload)) {
+    config_.OnConfigReply(*reply);
+  } else {
+    membership_.OnMessage(message);
+  }
+}
+
+void Entry::Impl::OnGossip(const InstanceId& sender,
+                           const GossipMessage& gossip) {
+  admission_.OnPeerUsage(sender, gossip.usage);
+  if (const MemberRecord* record = membership_.table().Find(sender)) {
+    config_.OnPeerHead(gossip.generation, gossip.head_digest,
+                       record->peer_endpoint);
+  }
+}
+
+void Entry::Impl::OnMemberChanged(const MemberRecord& record) {
+  events_.Add(KindOfMember(record.state), record.id.value());
+  if (record.state == MemberState::kDead) {
+    kLog.Warning("Instance {} does not answer.", record.id.value());
+    admission_.ForgetPeer(record.id);
+  }
+}
+
+void Entry::Impl::OnConfigApplied(const SiteConfig& config) {
+  site_config_ = config;
+  router_.ApplyConfig(site_config_);
+  admission_.ApplyConfig(site_config_);
+  policies_.ApplyConfig(site_config_);
+  targets_.ApplyConfig(site_config_);
+  lookup_.ApplyConfig(site_config_);
+  std::vector<EngineAddress> subset = router_.Subset();
+  sweeper_.SetEngines(subset);
+  poller_.SetEngines(std::move(subset));
+  placement_.SetConfig(site_config_);
+  UpdateCapacity();
+  events_.Add(EventKind::kConfigurationApplied,
+              fmt::format("generation {}", config.generation.value()));
+  kLog.Info("Generation {} is in force.", config.generation.value());
+  metrics_.SetGeneration(config.generation);
+  membership_.SetGeneration(config.generation);
+  membership_.GossipSoon(kConfigFanout);
+  dispatcher_.Wake();
+}
+
+void Entry::Impl::FillGossip(GossipMessage& gossip) {
+  gossip.generation = config_.generation();
+  gossip.head_digest = config_.digest();
+  gossip.usage = admission_.LocalUsage(kUsagePerGossip);
+}
+
+void Entry::Impl::Tick() {
+  UpdateCapacity();
+  UpdateMetrics();
+  tick_timer_ = dependencies_.clock.RunAfter(kTickInterval, [this] { Tick(); });
+}
+
+void Entry::Impl::UpdateCapacity() {
+  for (const auto& [id, service] : site_config_.services) {
+    if (service.kind == ServiceKind::kModel) {
+      admission_.SetCapacity(id, router_.Load(id).prefill_rate);
+    }
+  }
+}
+
+void Entry::Impl::UpdateMetrics() {
+  metrics_.SetRequestsInProgress(requests_.size());
+  for (const auto& [id, service] : site_config_.services) {
+    metrics_.SetRequestsQueued(id, dispatcher_.Size(id));
+  }
+  const MemberTable& table = membership_.table();
+  metrics_.SetMembers(table.WithState(MemberState::kAlive).size(),
+                      table.WithState(MemberState::kSuspect).size(),
+                      table.WithState(MemberState::kLeaving).size());
+  metrics_.SetDroppedEvents(events_.dropped());
+}
+
+void Entry::Impl::SweepJournal() {
+  const std::vector<InstanceId> live = LiveInstances();
+  journal_.SweepExpired([this, &live](const std::string& shard_key) {
+    const auto owner = RendezvousTop(shard_key, live, 1);
+    return !owner.empty() && owner.front() == settings_.instance;
+  });
+  sweep_timer_ = dependencies_.clock.RunAfter(kJournalSweepInterval,
+                                              [this] { SweepJournal(); });
+}
+
+std::vector<InstanceId> Entry::Impl::LiveInstances() const {
+  std::vector<InstanceId> live = membership_.table().Reachable();
+  live.push_back(settings_.instance);
+  return live;
+}
+
+bool Entry::Impl::IsInUse(const AttemptId& attempt) const {
+  return requests_.IsInUse(attempt);
+}
+
+EntriesAnswer Entry::Impl::ListEntries(const WorkspaceId& workspace) const {
+  EntriesAnswer answer;
+  answer.lifetime = settings_.entries_lifetime;
+  const std::vector<MemberRecord> ranked =
+      RankEntries(workspace, membership_.Serving(), dependencies_.random);
+  for (const MemberRecord& it : ranked) {
+    answer.entries.push_back(it.caller_endpoint);
+  }
+  return answer;
+}
+
+EntryStatus Entry::Impl::Status() const {
+  EntryStatus status;
+  status.instance = settings_.instance;
+  status.site = settings_.site;
+  status.failure_domain = settings_.failure_domain;
+  status.incarnation = membership_.self().incarnation;
+  status.is_leaving = drain_started_.has_value();
+  status.is_ready = config_.current() != nullptr && !status.is_leaving;
+  status.generation = config_.generation();
+  status.head_digest = config_.digest();
+  status.in_force_since = config_.in_force_since();
+  status.requests_in_progress = requests_.size();
+  return status;
+}
+
+void Entry::Impl::StartDrain() {
+  if (drain_started_) {
+    return;
+  }
+  drain_started_ = dependencies_.clock.Now();
+  kLog.Info("Leaving. {} requests are in progress.", requests_.size());
+  events_.Add(EventKind::kDrainStarted, "");
+  membership_.StartLeaving();
+  lease_.Stop();
+}
+
+bool Entry::Impl::IsDrained() const {
+  if (!drain_started_) {
+    return false;
+  }
+  // Callers with an older answer are redirected until it has run out.
+  const Duration since = dependencies_.clock.Now() - *drain_started_;
+  return since >= settings_.entries_lifetime && requests_.size() == 0 &&
+         journal_.pending() == 0 && reserver_.size() == 0;
+}
+
+std::string Entry::Impl::MetricsText() const {
+  return metrics_.PrometheusText();
+}
+
+std::string Entry::Impl::TimelineJson(
+    const std::string& request_filter,
+    const std::string& workspace_filter) const {
+  return events_.JsonLines(EventFilter{request_filter, workspace_filter});
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -0,0 +1,102 @@
+#ifndef KINGCUPDRIFT_ENTRY_INTERNAL_ENTRY_IMPL_H_
+#define KINGCUPDRIFT_ENTRY_INTERNAL_ENTRY_IMPL_H_
+
+#include <memory>
+#include <string>
+
+#include "kingcupdrift/entry/entry.h"
+#include "kingcupdrift/entry/internal/caller_lookup.h"
+#include "kingcupdrift/entry/internal/dispatcher.h"
+#include "kingcupdrift/entry/internal/engine_poller.h"
+#include "kingcupdrift/entry/internal/entry_context.h"
+#include "kingcupdrift/entry/internal/request.h"
+#include "kingcupdrift/entry/internal/request_table.h"
+#include "kingcupdrift/entry/internal/service_policies.h"
+#include "kingcupdrift/entry/internal/service_targets.h"
+#include "kingcupdrift/store/store.h"
+
+namespace kingcupdrift {
+
+/// Joins the libraries into one entry instance.
+class Entry::Impl : private SweepView {
+ public:
+  Impl(EntrySettings settings, EntryDependencies dependencies);
+  ~Impl() override;
+
+  void Start();
+  RequestId Complete(CompletionCall call, std::unique_ptr<CallerSink> sink);
+  RequestId CallService(PlainCall call, std::unique_ptr<CallerSink> sink);
+  RequestId Resume(ResumeCall call, std::unique_ptr<CallerSink> sink);
+  void CallerGone(const RequestId& request);
+  void CallerDrained(const RequestId& request);
+  EntriesAnswer ListEntries(const WorkspaceId& workspace) const;
+  EntryStatus Status() const;
+  void StartDrain();
+  bool IsDrained() const;
+  std::string MetricsText() const;
+  std::string TimelineJson(const std::string& request_filter,
+                           const std::string& workspace_filter) const;
+
+ private:
+  // SweepView:
+  std::vector<InstanceId> LiveInstances() const override;
+  bool IsInUse(const AttemptId& attempt) const override;
+
+  void ConnectSignals();
+  void OnPeerMessage(const PeerMessage& message);
+  void OnGossip(const InstanceId& sender, const GossipMessage& gossip);
+  void OnMemberChanged(const MemberRecord& record);
+  void OnConfigApplied(const SiteConfig& config);
+  void FillGossip(GossipMessage& gossip);
+  void Tick();
+  void UpdateCapacity();
+  void UpdateMetrics();
+  void SweepJournal();
+
+  /// Refuses when this entry takes no new work.
+  tl::expected<void, Problem> CheckServing(const WorkspaceId& workspace) const;
+  /// Finds the workspace of a call and whether it may enter here.
+  tl::expected<const WorkspaceConfig*, Problem> Authorize(
+      const CallerContext& caller) const;
+  RequestInfo MakeInfo(const WorkspaceConfig& workspace,
+                       const ServiceConfig& service,
+                       const CallerContext& caller);
+  RequestId Run(std::unique_ptr<Request> request);
+  /// Answers a call that became no request. Returns an empty identifier.
+  RequestId Refuse(CallerSink& sink, const Problem& problem);
+
+  EntrySettings settings_;
+  EntryDependencies dependencies_;
+  HybridClock hybrid_clock_;
+  EventRing events_;
+  Metrics metrics_;
+  StoreBudget store_budget_;
+  BudgetedStore journal_store_;
+  BudgetedStore config_store_;
+  BudgetedStore lease_store_;
+  Membership membership_;
+  ConfigFollower config_;
+  Router router_;
+  AdmissionController admission_;
+  Journal journal_;
+  GroupReserver reserver_;
+  LeaseKeeper lease_;
+  PlacementController placement_;
+  HoldingSweeper sweeper_;
+  ServicePolicies policies_;
+  ServiceTargets targets_;
+  Dispatcher dispatcher_;
+  EnginePoller poller_;
+  CallerLookup lookup_;
+  /// The configuration that `lookup_` refers to.
+  SiteConfig site_config_;
+  RequestTable requests_;
+  EntryContext context_;
+  std::optional<MonotonicTime> drain_started_;
+  std::unique_ptr<Timer> tick_timer_;
+  std::unique_ptr<Timer> sweep_timer_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENTRY_INTERNAL_ENTRY_IMPL_H_
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/once_request.cc
@@ -0,0 +1,179 @@
+#include "kingcupdrift/entry/internal/once_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kingcupdrift/api/api.h"
+#include "kingcupdrift/entry/internal/problems.h"
+#include "kingcupdrift/entry/internal/request_table.h"
+
+namespace kingcupdrift {
+namespace {
+
+/// Time kept back from the deadline for the tombstone's write.
+constexpr Duration kAbandonReserve = std::chrono::milliseconds(500);
+
+}  // namespace
+
+OnceRequest::OnceRequest(EntryContext& context,
+                         RequestInfo info,
+                         PlainCall call,
+                         IdempotencyKey key,
+                         std::unique_ptr<CallerSink> sink)
+    : PlainRequest(context, std::move(info), std::move(call), std::move(sink)),
+      key_(std::move(key)),
+      attempt_(context.random.Token()) {}
+
+void OnceRequest::OnAdmitted() {
+  state_ = State::kBeginning;
+  BeginRequest request;
+  request.key = key_;
+  request.fingerprint = Fingerprint();
+  request.attempt = attempt_;
+  request.window = info().service.idempotency_window;
+  request.run_until = context().clock.WallNow() + TimeLeft();
+  request.deadline = info().deadline - kAbandonReserve;
+  // The journal outlives requests, but this one may end before the callback.
+  const RequestId self = id();
+  RequestTable& requests = context().requests;
+  context().journal.Begin(std::move(request),
+                          [this, self, &requests](const BeginResult& begun) {
+                            if (requests.Find(self) == this) {
+                              OnBegun(begun);
+                            }
+                          });
+}
+
+void OnceRequest::OnBegun(const BeginResult& begun) {
+  if (state_ != State::kBeginning) {
+    return;
+  }
+  if (begun.status == BeginStatus::kStarted) {
+    Note(EventKind::kIntentWritten, EngineId(), attempt_.value());
+    SendOnce();
+    return;
+  }
+  state_ = State::kEnded;
+  if (begun.status == BeginStatus::kAlreadyCompleted && begun.result) {
+    ReplyFromJournal(*begun.result);
+    return;
+  }
+  EndWithProblem(ProblemFromBegin(begun.status));
+}
+
+void OnceRequest::ReplyFromJournal(const StoredResult& result) {
+  ServiceResponse response;
+  response.status = result.status;
+  response.headers.emplace_back("Idempotency-Replayed", "true");
+  if (!result.content_type.empty()) {
+    response.headers.emplace_back("Content-Type", result.content_type);
+  }
+  response.body =
+      std::make_shared<const std::string>(result.body.value_or(std::string()));
+  EndWithReply(response);
+}
+
+void OnceRequest::SendOnce() {
+  state_ = State::kSending;
+  if (TimeLeft() <= kAbandonReserve) {
+    Abandon(ProblemType::kDeadlineExceeded, "the time limit has passed");
+    return;
+  }
+  if (!Send(attempt_, true)) {
+    Abandon(ProblemType::kNoEngine, "no engine of the service is usable");
+  }
+}
+
+void OnceRequest::OnAnswer(const EngineAddress& target,
+                           Result<ServiceResponse> answer) {
+  if (answer) {
+    Complete(*answer);
+    return;
+  }
+  if (answer.error().code == ErrorCode::kUnavailable) {
+    // Nothing was sent, so that the same attempt may go to another engine.
+    excluded().push_back(target.id);
+    SendOnce();
+    return;
+  }
+  EndUnknown(ProblemType::kEngineFailed, answer.error().detail);
+}
+
+void OnceRequest::Complete(const ServiceResponse& response) {
+  state_ = State::kEnded;
+  StoredResult result;
+  result.status = response.status;
+  result.content_type =
+      std::string(FindHeader(response.headers, "Content-Type"));
+  if (response.body != nullptr) {
+    result.body = *response.body;
+  }
+  context().journal.Complete(key_, attempt_, std::move(result),
+                             [](const Result<void>&) {});
+  EndWithReply(response);
+}
+
+void OnceRequest::Abandon(ProblemType type, const std::string& detail) {
+  state_ = State::kAbandoning;
+  const RequestId self = id();
+  RequestTable& requests = context().requests;
+  context().journal.Abandon(
+      key_, attempt_, info().deadline,
+      [this, self, &requests, type, detail](const Result<void>& written) {
+        if (requests.Find(self) != this) {
+          return;
+        }
+        state_ = State::kEnded;
+        Problem problem = NotRun(type, detail);
+        if (written) {
+          Note(EventKind::kIntentTombstoned, EngineId(), attempt_.value());
+        } else {
+          problem.outcome = Outcome::kUnknown;
+        }
+        EndWithProblem(problem);
+      });
+}
+
+void OnceRequest::EndUnknown(ProblemType type, const std::string& detail) {
+  state_ = State::kEnded;
+  StopCall();
+  context().journal.MarkUnknown(key_, attempt_, [](const Result<void>&) {});
+  Problem problem = NotRun(type, detail);
+  problem.outcome = Outcome::kUnknown;
+  EndWithProblem(problem);
+}
+
+void OnceRequest::OnDeadline() {
+  const std::string detail = "the time limit has passed";
+  if (state_ == State::kSending) {
+    EndUnknown(ProblemType::kDeadlineExceeded, detail);
+    return;
+  }
+  if (state_ == State::kBeginning) {
+    context().journal.CancelBegin(key_, attempt_);
+  }
+  state_ = State::kEnded;
+  Problem problem = NotRun(ProblemType::kDeadlineExceeded, detail);
+  problem.outcome = Outcome::kUnknown;
+  EndWithProblem(problem);
+}
+
+void OnceRequest::OnCallerGone() {
+  if (state_ == State::kBeginning) {
+    context().journal.CancelBegin(key_, attempt_);
+    state_ = State::kEnded;
+    EndSilently(Outcome::kNotRun, "the caller went away");
+  }
+  // What was sent runs on to its reply, so that a repeated call learns of it.
+}
+
+std::uint64_t OnceRequest::Fingerprint() const {
+  std::uint64_t hash = FastHash(call().method);
+  hash = FastHash(call().target, hash);
+  if (call().body != nullptr) {
+    hash = FastHash(*call().body, hash);
+  }
+  return hash;
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/once_request.h
@@ -0,0 +1,51 @@
+#ifndef KINGCUPDRIFT_ENTRY_INTERNAL_ONCE_REQUEST_H_
+#define KINGCUPDRIFT_ENTRY_INTERNAL_ONCE_REQUEST_H_
+
+#include <memory>
+
+#include "kingcupdrift/entry/internal/plain_request.h"
+#include "kingcupdrift/idempotency/idempotency.h"
+
+namespace kingcupdrift {
+
+/// A non-idempotent call: runs at most once for its idempotency key.
+///
+/// The intent is durable in the journal before anything is sent. After that the
+/// call ends as one of: a reply, which the journal keeps; proof that nothing
+/// was sent, which a tombstone makes final before `not_run` is said; or
+/// `unknown`.
+class OnceRequest : public PlainRequest {
+ public:
+  OnceRequest(EntryContext& context,
+              RequestInfo info,
+              PlainCall call,
+              IdempotencyKey key,
+              std::unique_ptr<CallerSink> sink);
+
+ private:
+  enum class State { kNew, kBeginning, kSending, kAbandoning, kEnded };
+
+  // PlainRequest:
+  void OnAdmitted() override;
+  void OnAnswer(const EngineAddress& target,
+                Result<ServiceResponse> answer) override;
+  // Request:
+  void OnDeadline() override;
+  void OnCallerGone() override;
+
+  void OnBegun(const BeginResult& begun);
+  void ReplyFromJournal(const StoredResult& result);
+  void SendOnce();
+  void Complete(const ServiceResponse& response);
+  void Abandon(ProblemType type, const std::string& detail);
+  void EndUnknown(ProblemType type, const std::string& detail);
+  std::uint64_t Fingerprint() const;
+
+  IdempotencyKey key_;
+  AttemptId attempt_;
+  State state_ = State::kNew;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENTRY_INTERNAL_ONCE_REQUEST_H_
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/plain_request.h
@@ -0,0 +1,53 @@
+#ifndef KINGCUPDRIFT_ENTRY_INTERNAL_PLAIN_REQUEST_H_
+#define KINGCUPDRIFT_ENTRY_INTERNAL_PLAIN_REQUEST_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/entry/internal/request.h"
+
+namespace kingcupdrift {
+
+/// A call to a plain service. Shared by idempotent and non-idempotent calls:
+/// admission and the sending of one attempt.
+class PlainRequest : public Request {
+ public:
+  PlainRequest(EntryContext& context,
+               RequestInfo info,
+               PlainCall call,
+               std::unique_ptr<CallerSink> sink);
+  ~PlainRequest() override;
+
+  bool Uses(const AttemptId& attempt) const override;
+
+ protected:
+  /// A call that was sent, or should have been, ended.
+  virtual void OnAnswer(const EngineAddress& target,
+                        Result<ServiceResponse> answer) = 0;
+  virtual void OnAdmitted() = 0;
+
+  void OnStart() final;
+
+  /// Sends to an engine not in `excluded`; false if there is none.
+  bool Send(const AttemptId& attempt, bool needs_new_connection);
+  /// Closes the running call, if any.
+  void StopCall();
+  bool is_sending() const { return target_.has_value(); }
+  const PlainCall& call() const { return call_; }
+  std::vector<EngineId>& excluded() { return excluded_; }
+
+ private:
+  void OnCallEnded(Result<ServiceResponse> answer);
+
+  PlainCall call_;
+  AttemptId attempt_;
+  std::optional<EngineAddress> target_;
+  std::unique_ptr<ServiceCall> running_;
+  std::vector<EngineId> excluded_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENTRY_INTERNAL_PLAIN_REQUEST_H_
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/resume_request.cc
@@ -0,0 +1,101 @@
+#include "kingcupdrift/entry/internal/resume_request.h"
+
+#include <utility>
+
+#include "kingcupdrift/entry/internal/problems.h"
+
+namespace kingcupdrift {
+namespace {
+
+/// Bytes a caller may leave unread before its engine is no longer read.
+constexpr ByteCount kMaxUnsent{256 * 1024};
+
+}  // namespace
+
+ResumeRequest::ResumeRequest(EntryContext& context,
+                             RequestInfo info,
+                             ResumeToken token,
+                             std::string token_text,
+                             EngineAddress engine,
+                             std::uint64_t received_tokens,
+                             std::unique_ptr<CallerSink> sink)
+    : Request(context, std::move(info), std::move(sink)),
+      token_(std::move(token)),
+      token_text_(std::move(token_text)),
+      engine_(std::move(engine)),
+      received_tokens_(received_tokens),
+      session_(context.clock, context.engines, *this) {}
+
+bool ResumeRequest::Uses(const AttemptId& attempt) const {
+  return !has_ended() && token_.attempt == attempt;
+}
+
+void ResumeRequest::OnStart() {
+  Note(EventKind::kStreamResumed, engine_.id,
+       fmt::format("from token {}", received_tokens_));
+  session_.Attach(engine_, token_.attempt, received_tokens_);
+}
+
+void ResumeRequest::OnAccepted(TokenCount /*cached*/) {}
+
+void ResumeRequest::OnChunk(const AnswerChunk& chunk) {
+  BeginAnswer();
+  if (sink() == nullptr) {
+    return;
+  }
+  sink()->Write(chunk);
+  if (sink()->Unsent() > kMaxUnsent) {
+    session_.SetPaused(true);
+  }
+}
+
+void ResumeRequest::BeginAnswer() {
+  if (has_begun_answer_ || sink() == nullptr) {
+    return;
+  }
+  has_begun_answer_ = true;
+  AnswerStart start;
+  start.request = id();
+  start.model = token_.model;
+  start.kind = token_.kind;
+  start.resume_token = token_text_;
+  start.prompt_tokens = token_.prompt_tokens;
+  sink()->Begin(start);
+}
+
+void ResumeRequest::OnFinished(const AnswerEnd& end) {
+  BeginAnswer();
+  EndWithAnswer(end);
+}
+
+void ResumeRequest::OnResumed(std::uint64_t offset) {
+  Note(EventKind::kStreamResumed, engine_.id,
+       fmt::format("from token {}", offset));
+}
+
+void ResumeRequest::OnAttemptFailed(const AttemptFailure& failure) {
+  Fail(ProblemType::kResumeRefused, failure.error.detail);
+}
+
+void ResumeRequest::OnDeadline() {
+  session_.Stop();
+  Fail(ProblemType::kDeadlineExceeded, "the time limit has passed");
+}
+
+void ResumeRequest::OnCallerGone() {
+  session_.Stop();
+  EndSilently(Outcome::kFailed, "the caller went away");
+}
+
+void ResumeRequest::OnCallerDrained() {
+  session_.SetPaused(false);
+}
+
+void ResumeRequest::Fail(ProblemType type, const std::string& detail) {
+  Problem problem = NotRun(type, detail);
+  // The stream was running when the caller had it from the first entry.
+  problem.outcome = Outcome::kFailed;
+  EndWithProblem(problem);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/resume_request.h
@@ -0,0 +1,55 @@
+#ifndef KINGCUPDRIFT_ENTRY_INTERNAL_RESUME_REQUEST_H_
+#define KINGCUPDRIFT_ENTRY_INTERNAL_RESUME_REQUEST_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "kingcupdrift/api/api.h"
+#include "kingcupdrift/entry/internal/request.h"
+#include "kingcupdrift/streaming/streaming.h"
+
+namespace kingcupdrift {
+
+/// Goes on with a stream that another entry began, from the engine that the
+/// caller's resume token names. This entry has no prompt, so that an engine
+/// that lost the stream ends the request as failed.
+class ResumeRequest : public Request, private StreamSessionObserver {
+ public:
+  ResumeRequest(EntryContext& context,
+                RequestInfo info,
+                ResumeToken token,
+                std::string token_text,
+                EngineAddress engine,
+                std::uint64_t received_tokens,
+                std::unique_ptr<CallerSink> sink);
+
+  void OnCallerDrained() override;
+  bool Uses(const AttemptId& attempt) const override;
+
+ private:
+  // Request:
+  void OnStart() override;
+  void OnDeadline() override;
+  void OnCallerGone() override;
+
+  // StreamSessionObserver:
+  void OnAccepted(TokenCount cached) override;
+  void OnChunk(const AnswerChunk& chunk) override;
+  void OnFinished(const AnswerEnd& end) override;
+  void OnResumed(std::uint64_t offset) override;
+  void OnAttemptFailed(const AttemptFailure& failure) override;
+
+  void BeginAnswer();
+  void Fail(ProblemType type, const std::string& detail);
+
+  ResumeToken token_;
+  std::string token_text_;
+  EngineAddress engine_;
+  std::uint64_t received_tokens_;
+  StreamSession session_;
+  bool has_begun_answer_ = false;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENTRY_INTERNAL_RESUME_REQUEST_H_
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/service_policies.h
@@ -0,0 +1,33 @@
+#ifndef KINGCUPDRIFT_ENTRY_INTERNAL_SERVICE_POLICIES_H_
+#define KINGCUPDRIFT_ENTRY_INTERNAL_SERVICE_POLICIES_H_
+
+#include <map>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config.h"
+#include "kingcupdrift/routing/routing.h"
+
+namespace kingcupdrift {
+
+/// Retry and hedging state of each service.
+class ServicePolicies {
+ public:
+  /// Takes the services; state of those that stay is kept.
+  void ApplyConfig(const SiteConfig& config);
+
+  /// Both create a service's state on first use.
+  RetryBudget& RetryBudgetOf(const ServiceId& service);
+  HedgePolicy& HedgePolicyOf(const ServiceId& service);
+
+ private:
+  struct State {
+    RetryBudget retry_budget{0};
+    HedgePolicy hedge_policy;
+  };
+
+  std::map<ServiceId, State> states_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENTRY_INTERNAL_SERVICE_POLICIES_H_
--- /dev/null
+++ b/src/kingcupdrift/entry/internal/service_targets.h
@@ -0,0 +1,45 @@
+#ifndef KINGCUPDRIFT_ENTRY_INTERNAL_SERVICE_TARGETS_H_
+#define KINGCUPDRIFT_ENTRY_INTERNAL_SERVICE_TARGETS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/routing/routing.h"
+
+namespace kingcupdrift {
+
+/// Chooses among the engines of plain services: the less busy of two random
+/// ones, without those that failed repeatedly.
+class ServiceTargets {
+ public:
+  ServiceTargets(const Clock& clock, Random& random);
+
+  void ApplyConfig(const SiteConfig& config);
+
+  /// An engine that is not in `excluded`; empty if there is none.
+  std::optional<EngineAddress> Choose(const ServiceId& service,
+                                      const std::vector<EngineId>& excluded);
+  void OnSent(const EngineId& engine);
+  void OnEnded(const ServiceId& service, const EngineId& engine, bool is_fault);
+
+ private:
+  struct Pool {
+    std::vector<EngineAddress> engines;
+    std::unique_ptr<OutlierEjector> ejector;
+  };
+
+  const Clock& clock_;
+  Random& random_;
+  std::map<ServiceId, Pool> pools_;
+  std::map<EngineId, std::uint32_t> in_flight_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENTRY_INTERNAL_SERVICE_TARGETS_H_
