Add the loop, its clock, and the HTTP server and client

The stand-ins and every protocol of an entry need them. evhttp carries both sides. It stops reading while a request waits for its answer, so a caller that goes away would only be seen by the next write: a second event on the socket (EV_CLOSED) reports it at once; re-enabling reads was ruled out, since evhttp aborts on bytes that arrive in that state. A turn's hold on the loop is taken as thread processor time, so that the wait for events is not counted and no probing timer is needed.

--- a/src/kingcupdrift/api/event_stream_parser.h
+++ b/src/kingcupdrift/api/event_stream_parser.h
@@ -24,7 +24,7 @@
   /// kMaxEventBytes; the parser is then of no more use.
   Result<std::vector<ServerSentEvent>> Feed(std::string_view bytes);
 
-  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxEventBytes = 1'000'000;
 
  private:
   void TakeLine(std::string_view line, std::vector<ServerSentEvent>& events);
--- /dev/null
+++ b/src/kingcupdrift/net/event_loop.cc
@@ -0,0 +1,136 @@
+#include "kingcupdrift/net/event_loop.h"
+
+#include <event2/event.h>
+#include <time.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <utility>
+#include <vector>
+
+#include "kingcupdrift/net/internal/libevent_handles.h"
+
+namespace kingcupdrift {
+namespace {
+
+const Logger kLog("loop");
+
+Duration ThreadProcessorTime() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+EventBaseHandle CreateBase() {
+  event_config* const config = event_config_new();
+  // Timers count from now, not from the start of the turn.
+  event_config_set_flag(config, EVENT_BASE_FLAG_NO_CACHE_TIME);
+  EventBaseHandle base(event_base_new_with_config(config));
+  event_config_free(config);
+  if (!base) {
+    kLog.Error("No event base could be made.");
+    std::abort();
+  }
+  return base;
+}
+
+}  // namespace
+
+struct EventLoop::Impl {
+  struct SignalHandler {
+    EventHandle event;
+    std::function<void()> handler;
+  };
+
+  static void RunTasks(evutil_socket_t, short, void* arg) {
+    auto& impl = *static_cast<Impl*>(arg);
+    std::vector<std::function<void()>> tasks;
+    tasks.swap(impl.tasks);
+    for (const auto& task : tasks) {
+      task();
+    }
+  }
+
+  static void HandleSignal(evutil_socket_t, short, void* arg) {
+    static_cast<SignalHandler*>(arg)->handler();
+  }
+
+  EventBaseHandle base = CreateBase();
+  EventHandle task_event{event_new(base.get(), -1, 0, &RunTasks, this)};
+  std::vector<std::function<void()>> tasks;
+  std::vector<std::unique_ptr<SignalHandler>> signals;
+  Duration longest_turn{0};
+  bool is_stopped = false;
+};
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {
+  // A write to a connection that the other side closed is an error, no signal.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop() = default;
+
+event_base* EventLoop::base() const {
+  return impl_->base.get();
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  impl_->tasks.push_back(std::move(task));
+  event_active(impl_->task_event.get(), EV_TIMEOUT, 0);
+}
+
+void EventLoop::OnSignal(int signal, std::function<void()> handler) {
+  auto entry = std::make_unique<Impl::SignalHandler>();
+  entry->handler = std::move(handler);
+  entry->event.reset(evsignal_new(impl_->base.get(), signal,
+                                  &Impl::HandleSignal, entry.get()));
+  event_add(entry->event.get(), nullptr);
+  impl_->signals.push_back(std::move(entry));
+}
+
+void EventLoop::RunTurn() {
+  const Duration before = ThreadProcessorTime();
+  event_base_loop(impl_->base.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+  const Duration held = ThreadProcessorTime() - before;
+  impl_->longest_turn = std::max(impl_->longest_turn, held);
+}
+
+void EventLoop::Run() {
+  impl_->is_stopped = false;
+  while (!impl_->is_stopped) {
+    RunTurn();
+  }
+}
+
+void EventLoop::Stop() {
+  impl_->is_stopped = true;
+  event_base_loopbreak(impl_->base.get());
+}
+
+bool EventLoop::RunUntil(const std::function<bool()>& is_done, Duration limit) {
+  bool is_late = false;
+  const EventHandle timer(event_new(
+      impl_->base.get(), -1, 0,
+      [](evutil_socket_t, short, void* arg) {
+        *static_cast<bool*>(arg) = true;
+      },
+      &is_late));
+  const timeval delay = ToTimeval(limit);
+  event_add(timer.get(), &delay);
+  while (!is_done() && !is_late) {
+    RunTurn();
+  }
+  return is_done();
+}
+
+Duration EventLoop::LongestTurn() const {
+  return impl_->longest_turn;
+}
+
+void EventLoop::ResetLongestTurn() {
+  impl_->longest_turn = Duration::zero();
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/net/http_client.h
+++ b/src/kingcupdrift/net/http_client.h
@@ -64,7 +64,7 @@
   /// Idle connections older than this are not reused.
   Duration max_idle = std::chrono::seconds(5);
   std::size_t max_idle_connections_per_server = 4;
-  ByteCount max_response_bytes{64 * 1024 * 1024};
+  ByteCount max_response_bytes{64'000'000};
 };
 
 /// Calls HTTP/1.1 servers, with a small pool of idle connections. Callbacks
--- /dev/null
+++ b/src/kingcupdrift/net/http_server.cc
@@ -0,0 +1,76 @@
+#include "kingcupdrift/net/http_server.h"
+
+#include <arpa/inet.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "kingcupdrift/net/internal/http_convert.h"
+#include "kingcupdrift/net/internal/libevent_handles.h"
+#include "kingcupdrift/net/internal/server_exchange.h"
+
+namespace kingcupdrift {
+namespace {
+
+const Logger kLog("http");
+
+class EvhttpServer : public HttpServer {
+ public:
+  EvhttpServer(EventLoop& loop, Handler handler)
+      : loop_(loop),
+        handler_(std::move(handler)),
+        http_(evhttp_new(loop.base())) {}
+
+  Result<void> Bind(const Endpoint& endpoint,
+                    const HttpServerSettings& settings) {
+    evhttp* const http = http_.get();
+    evhttp_set_max_headers_size(http, settings.max_header_bytes.value());
+    evhttp_set_max_body_size(http, settings.max_body_bytes.value());
+    const timeval limit = ToTimeval(settings.silence_limit);
+    evhttp_set_timeout_tv(http, &limit);
+    evhttp_set_default_content_type(http, nullptr);
+    evhttp_set_allowed_methods(http, kAllHttpMethods);
+    evhttp_set_gencb(http, &HandleRequest, this);
+    evhttp_bound_socket* const bound = evhttp_bind_socket_with_handle(
+        http, endpoint.host.c_str(), endpoint.port);
+    if (bound == nullptr) {
+      return MakeError(ErrorCode::kUnavailable,
+                       "cannot listen at " + ToString(endpoint));
+    }
+    endpoint_ = {endpoint.host, LocalPort(evhttp_bound_socket_get_fd(bound))};
+    return {};
+  }
+
+  Endpoint endpoint() const override { return endpoint_; }
+
+ private:
+  static void HandleRequest(evhttp_request* request, void* arg) {
+    auto& server = *static_cast<EvhttpServer*>(arg);
+    server.handler_(CreateServerExchange(server.loop_, request));
+  }
+
+  EventLoop& loop_;
+  Handler handler_;
+  HttpHandle http_;
+  Endpoint endpoint_;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Listen(
+    EventLoop& loop,
+    const Endpoint& endpoint,
+    const HttpServerSettings& settings,
+    Handler handler) {
+  auto server = std::make_unique<EvhttpServer>(loop, std::move(handler));
+  const Result<void> bound = server->Bind(endpoint, settings);
+  if (!bound) {
+    return tl::unexpected(bound.error());
+  }
+  kLog.Debug("Listening at {}.", ToString(server->endpoint()));
+  return server;
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/net/http_server.h
+++ b/src/kingcupdrift/net/http_server.h
@@ -15,9 +15,9 @@
 
 struct HttpServerSettings {
   /// Requests with larger headers are answered with 400.
-  ByteCount max_header_bytes{32 * 1024};
+  ByteCount max_header_bytes{32'000};
   /// Requests with a larger body are answered with 413.
-  ByteCount max_body_bytes{8 * 1024 * 1024};
+  ByteCount max_body_bytes{8'000'000};
   /// A connection is closed after this long without a byte while a request is
   /// incomplete, an answer is not taken, or nothing is asked.
   Duration silence_limit = std::chrono::seconds(60);
--- /dev/null
+++ b/src/kingcupdrift/net/internal/client_call.cc
@@ -0,0 +1,171 @@
+#include "kingcupdrift/net/internal/client_call.h"
+
+#include <utility>
+
+namespace kingcupdrift {
+namespace {
+
+class ClientCall : public HttpCall, public ConnectionUser {
+ public:
+  ClientCall(ConnectionPool& pool,
+             HttpRequest request,
+             HttpResponseObserver& observer)
+      : pool_(pool), request_(std::move(request)), observer_(observer) {
+    start_timer_ =
+        pool_.clock().RunAfter(Duration::zero(), [this] { Begin(); });
+  }
+
+  ~ClientCall() override { DiscardConnection(); }
+
+  void SetPaused(bool is_paused) override {
+    is_paused_ = is_paused;
+    last_progress_ = pool_.clock().Now();
+    if (connection_ && has_headers_) {
+      connection_->SetPaused(is_paused);
+    }
+  }
+
+  void HandleHeaders(int status, const HeaderList& headers) override {
+    has_headers_ = true;
+    last_progress_ = pool_.clock().Now();
+    if (is_paused_) {
+      connection_->SetPaused(true);
+    }
+    observer_.OnHeaders(status, headers);
+  }
+
+  void HandleBytes(std::string_view bytes) override {
+    last_progress_ = pool_.clock().Now();
+    observer_.OnBytes(bytes);
+  }
+
+  void HandleEnd(bool is_whole) override {
+    if (is_whole && has_headers_) {
+      StopTimers();
+      pool_.Return(std::move(connection_));
+      observer_.OnEnd();
+      return;
+    }
+    if (ShouldRetry()) {
+      DiscardConnection();
+      Connect(pool_.CreateNew(request_.server));
+      return;
+    }
+    Fail(BrokenCode(), "connection to " + ToString(request_.server) + " broke");
+  }
+
+ private:
+  void Begin() {
+    last_progress_ = pool_.clock().Now();
+    if (request_.time_limit > Duration::zero()) {
+      limit_timer_ = pool_.clock().RunAfter(request_.time_limit,
+                                            [this] { HandleTimeLimit(); });
+    }
+    WatchSilence(request_.silence_limit);
+    std::unique_ptr<ClientConnection> idle;
+    if (!request_.needs_new_connection) {
+      idle = pool_.TakeIdle(request_.server);
+    }
+    is_reused_ = idle != nullptr;
+    Connect(is_reused_ ? std::move(idle) : pool_.CreateNew(request_.server));
+  }
+
+  void Connect(std::unique_ptr<ClientConnection> connection) {
+    connection_ = std::move(connection);
+    connect_timer_ = pool_.clock().RunAfter(pool_.connect_limit(),
+                                            [this] { HandleConnectLimit(); });
+    connection_->Send(request_, *this);
+  }
+
+  // An idle connection that the server closed just now is no sign of trouble.
+  bool ShouldRetry() {
+    const bool is_repeatable =
+        request_.method == "GET" || request_.method == "HEAD";
+    const bool can_retry =
+        is_reused_ && !has_headers_ &&
+        (is_repeatable || (connection_ && !connection_->is_sent()));
+    is_reused_ = false;
+    return can_retry;
+  }
+
+  void HandleConnectLimit() {
+    if (connection_ && !connection_->is_sent()) {
+      Fail(ErrorCode::kUnavailable,
+           "no connection to " + ToString(request_.server));
+    }
+  }
+
+  void HandleTimeLimit() {
+    const bool is_sent = connection_ && connection_->is_sent();
+    Fail(is_sent ? ErrorCode::kDeadlineExceeded : ErrorCode::kUnavailable,
+         "no whole answer from " + ToString(request_.server) + " in time");
+  }
+
+  void WatchSilence(Duration wait) {
+    if (request_.silence_limit <= Duration::zero()) {
+      return;
+    }
+    silence_timer_ =
+        pool_.clock().RunAfter(wait, [this] { HandleSilenceCheck(); });
+  }
+
+  void HandleSilenceCheck() {
+    const MonotonicTime due = last_progress_ + request_.silence_limit;
+    const Duration left = due - pool_.clock().Now();
+    if (is_paused_ || left > Duration::zero()) {
+      WatchSilence(is_paused_ ? request_.silence_limit : left);
+      return;
+    }
+    Fail(BrokenCode(),
+         "connection to " + ToString(request_.server) + " is silent");
+  }
+
+  ErrorCode BrokenCode() const {
+    if (!connection_ || !connection_->is_sent()) {
+      return ErrorCode::kUnavailable;
+    }
+    return has_headers_ ? ErrorCode::kConnectionLost
+                        : ErrorCode::kUnknownEffect;
+  }
+
+  void Fail(ErrorCode code, std::string detail) {
+    StopTimers();
+    DiscardConnection();
+    observer_.OnError({code, std::move(detail)});
+  }
+
+  void DiscardConnection() {
+    if (connection_) {
+      pool_.Discard(std::move(connection_));
+    }
+  }
+
+  void StopTimers() {
+    connect_timer_.reset();
+    limit_timer_.reset();
+    silence_timer_.reset();
+  }
+
+  ConnectionPool& pool_;
+  HttpRequest request_;
+  HttpResponseObserver& observer_;
+  std::unique_ptr<ClientConnection> connection_;
+  std::unique_ptr<Timer> start_timer_;
+  std::unique_ptr<Timer> connect_timer_;
+  std::unique_ptr<Timer> limit_timer_;
+  std::unique_ptr<Timer> silence_timer_;
+  MonotonicTime last_progress_{};
+  bool is_reused_ = false;
+  bool is_paused_ = false;
+  bool has_headers_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<HttpCall> CreateClientCall(ConnectionPool& pool,
+                                           HttpRequest request,
+                                           HttpResponseObserver& observer) {
+  return std::make_unique<ClientCall>(pool, std::move(request), observer);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -0,0 +1,149 @@
+#include "kingcupdrift/net/internal/client_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <string>
+
+#include "kingcupdrift/net/internal/http_convert.h"
+
+namespace kingcupdrift {
+namespace {
+
+// The client's own timers end calls long before this.
+constexpr int kLibraryTimeoutSeconds = 24 * 60 * 60;
+constexpr int kMaxResponseHeaderBytes = 64 * 1024;
+constexpr int kSegmentsAtOnce = 16;
+
+void SendWithoutDelay(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+void AddRequestHeaders(evkeyvalq* target, const HttpRequest& request) {
+  evhttp_add_header(target, "Host", ToString(request.server).c_str());
+  AddHeaders(target, request.headers);
+  if (request.method != "GET" && request.method != "HEAD") {
+    const std::string size = std::to_string(TotalSize(request.body));
+    evhttp_add_header(target, "Content-Length", size.c_str());
+  }
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(event_base* base,
+                                   const Endpoint& server,
+                                   TrafficCounters& counters)
+    : server_(server), counters_(counters) {
+  bufferevent* const bev =
+      bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+  evbuffer_add_cb(bufferevent_get_output(bev), &OnOutput, this);
+  evbuffer_add_cb(bufferevent_get_input(bev), &OnInput, this);
+  connection_.reset(evhttp_connection_base_bufferevent_new(
+      base, nullptr, bev, server.host.c_str(), server.port));
+  evhttp_connection_set_timeout(connection_.get(), kLibraryTimeoutSeconds);
+  evhttp_connection_set_max_headers_size(connection_.get(),
+                                         kMaxResponseHeaderBytes);
+}
+
+bufferevent* ClientConnection::stream() const {
+  return evhttp_connection_get_bufferevent(connection_.get());
+}
+
+bool ClientConnection::IsOpen() const {
+  return bufferevent_getfd(stream()) != -1;
+}
+
+void ClientConnection::Send(const HttpRequest& request, ConnectionUser& user) {
+  user_ = &user;
+  is_sent_ = false;
+  evhttp_request* const out = evhttp_request_new(&OnDone, this);
+  evhttp_request_set_header_cb(out, &OnHeaders);
+  evhttp_request_set_chunked_cb(out, &OnChunk);
+  AddRequestHeaders(evhttp_request_get_output_headers(out), request);
+  evbuffer* const body = evhttp_request_get_output_buffer(out);
+  for (const BodySlice& slice : request.body) {
+    AddReference(body, slice);
+  }
+  const auto method = ParseHttpMethod(request.method);
+  if (!method || evhttp_make_request(connection_.get(), out, *method,
+                                     request.target.c_str()) != 0) {
+    OnDone(nullptr, this);
+  }
+}
+
+void ClientConnection::Abandon() {
+  user_ = nullptr;
+  bufferevent_disable(stream(), EV_READ | EV_WRITE);
+}
+
+void ClientConnection::SetPaused(bool is_paused) {
+  if (is_paused) {
+    bufferevent_disable(stream(), EV_READ);
+  } else {
+    bufferevent_enable(stream(), EV_READ);
+  }
+}
+
+int ClientConnection::OnHeaders(evhttp_request* request, void* arg) {
+  auto& self = *static_cast<ClientConnection*>(arg);
+  if (self.user_ != nullptr) {
+    self.user_->HandleHeaders(
+        evhttp_request_get_response_code(request),
+        ToHeaderList(evhttp_request_get_input_headers(request)));
+  }
+  return 0;
+}
+
+void ClientConnection::OnChunk(evhttp_request* request, void* arg) {
+  auto& self = *static_cast<ClientConnection*>(arg);
+  evbuffer* const input = evhttp_request_get_input_buffer(request);
+  std::array<evbuffer_iovec, kSegmentsAtOnce> segments{};
+  while (self.user_ != nullptr && evbuffer_get_length(input) > 0) {
+    const int found =
+        evbuffer_peek(input, -1, nullptr, segments.data(), kSegmentsAtOnce);
+    const int count = std::min(found, kSegmentsAtOnce);
+    std::size_t taken = 0;
+    for (int i = 0; i < count && self.user_ != nullptr; ++i) {
+      self.user_->HandleBytes({static_cast<const char*>(segments[i].iov_base),
+                               segments[i].iov_len});
+      taken += segments[i].iov_len;
+    }
+    evbuffer_drain(input, taken);
+  }
+}
+
+void ClientConnection::OnDone(evhttp_request* request, void* arg) {
+  auto& self = *static_cast<ClientConnection*>(arg);
+  if (self.user_ == nullptr) {
+    return;
+  }
+  const bool is_whole =
+      request != nullptr && evhttp_request_get_response_code(request) != 0;
+  self.user_->HandleEnd(is_whole);
+}
+
+void ClientConnection::OnOutput(evbuffer*,
+                                const evbuffer_cb_info* info,
+                                void* arg) {
+  auto& self = *static_cast<ClientConnection*>(arg);
+  if (info->n_deleted == 0) {
+    return;
+  }
+  self.counters_.bytes_sent += static_cast<std::int64_t>(info->n_deleted);
+  if (!self.is_sent_) {
+    self.is_sent_ = true;
+    SendWithoutDelay(bufferevent_getfd(self.stream()));
+  }
+}
+
+void ClientConnection::OnInput(evbuffer*,
+                               const evbuffer_cb_info* info,
+                               void* arg) {
+  auto& self = *static_cast<ClientConnection*>(arg);
+  self.counters_.bytes_received += static_cast<std::int64_t>(info->n_added);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/internal/connection_pool.cc
@@ -0,0 +1,87 @@
+#include "kingcupdrift/net/internal/connection_pool.h"
+
+#include <utility>
+
+namespace kingcupdrift {
+
+std::unique_ptr<ClientConnection> ConnectionPool::TakeIdle(
+    const Endpoint& server) {
+  const auto it = idle_.find(server);
+  if (it == idle_.end()) {
+    return nullptr;
+  }
+  std::vector<IdleConnection>& idle = it->second;
+  const MonotonicTime oldest = clock_.Now() - settings_.max_idle;
+  while (!idle.empty()) {
+    IdleConnection last = std::move(idle.back());
+    idle.pop_back();
+    if (last.since >= oldest && last.connection->IsOpen()) {
+      return std::move(last.connection);
+    }
+  }
+  idle_.erase(it);
+  return nullptr;
+}
+
+std::unique_ptr<ClientConnection> ConnectionPool::CreateNew(
+    const Endpoint& server) {
+  return std::make_unique<ClientConnection>(loop_.base(), server, counters_);
+}
+
+void ConnectionPool::Return(std::unique_ptr<ClientConnection> connection) {
+  connection->Release();
+  returned_.push_back(std::move(connection));
+  ScheduleSweep();
+}
+
+void ConnectionPool::Discard(std::unique_ptr<ClientConnection> connection) {
+  connection->Abandon();
+  discarded_.push_back(std::move(connection));
+  ScheduleSweep();
+}
+
+void ConnectionPool::ScheduleSweep() {
+  if (!sweep_timer_) {
+    sweep_timer_ = clock_.RunAfter(Duration::zero(), [this] { Sweep(); });
+  }
+}
+
+void ConnectionPool::Sweep() {
+  sweep_timer_.reset();
+  discarded_.clear();
+  for (auto& connection : std::exchange(returned_, {})) {
+    Keep(std::move(connection));
+  }
+}
+
+void ConnectionPool::Keep(std::unique_ptr<ClientConnection> connection) {
+  if (!connection->IsOpen()) {
+    return;
+  }
+  std::vector<IdleConnection>& idle = idle_[connection->server()];
+  if (idle.size() >= settings_.max_idle_connections_per_server) {
+    return;
+  }
+  idle.push_back({std::move(connection), clock_.Now()});
+  if (!expiry_timer_) {
+    expiry_timer_ =
+        clock_.RunAfter(settings_.max_idle, [this] { DropExpired(); });
+  }
+}
+
+void ConnectionPool::DropExpired() {
+  expiry_timer_.reset();
+  const MonotonicTime oldest = clock_.Now() - settings_.max_idle;
+  for (auto& [server, idle] : idle_) {
+    std::erase_if(idle, [&](const IdleConnection& it) {
+      return it.since <= oldest || !it.connection->IsOpen();
+    });
+  }
+  std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
+  if (!idle_.empty()) {
+    expiry_timer_ =
+        clock_.RunAfter(settings_.max_idle, [this] { DropExpired(); });
+  }
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/internal/connection_pool.h
@@ -0,0 +1,60 @@
+#ifndef KINGCUPDRIFT_NET_INTERNAL_CONNECTION_POOL_H_
+#define KINGCUPDRIFT_NET_INTERNAL_CONNECTION_POOL_H_
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "kingcupdrift/net/event_loop.h"
+#include "kingcupdrift/net/http_client.h"
+#include "kingcupdrift/net/internal/client_connection.h"
+
+namespace kingcupdrift {
+
+/// Idle connections by server, and the disposal of used ones.
+class ConnectionPool {
+ public:
+  ConnectionPool(EventLoop& loop,
+                 Clock& clock,
+                 const HttpClientSettings& settings)
+      : loop_(loop), clock_(clock), settings_(settings) {}
+
+  /// An idle connection that is open and recent; null without one.
+  std::unique_ptr<ClientConnection> TakeIdle(const Endpoint& server);
+  std::unique_ptr<ClientConnection> CreateNew(const Endpoint& server);
+
+  /// Takes a connection back after a whole answer. May be called inside the
+  /// connection's callbacks.
+  void Return(std::unique_ptr<ClientConnection> connection);
+  /// Closes a connection on a later turn.
+  void Discard(std::unique_ptr<ClientConnection> connection);
+
+  Clock& clock() const { return clock_; }
+  Duration connect_limit() const { return settings_.connect_limit; }
+  const TrafficCounters& counters() const { return counters_; }
+
+ private:
+  struct IdleConnection {
+    std::unique_ptr<ClientConnection> connection;
+    MonotonicTime since;
+  };
+
+  void ScheduleSweep();
+  void Sweep();
+  void Keep(std::unique_ptr<ClientConnection> connection);
+  void DropExpired();
+
+  EventLoop& loop_;
+  Clock& clock_;
+  HttpClientSettings settings_;
+  TrafficCounters counters_;
+  std::map<Endpoint, std::vector<IdleConnection>> idle_;
+  std::vector<std::unique_ptr<ClientConnection>> returned_;
+  std::vector<std::unique_ptr<ClientConnection>> discarded_;
+  std::unique_ptr<Timer> sweep_timer_;
+  std::unique_ptr<Timer> expiry_timer_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_INTERNAL_CONNECTION_POOL_H_
--- /dev/null
+++ b/src/kingcupdrift/net/internal/http_convert.cc
@@ -0,0 +1,117 @@
+#include "kingcupdrift/net/internal/http_convert.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "kingcupdrift/net/http_server.h"
+
+namespace kingcupdrift {
+namespace {
+
+struct MethodName {
+  evhttp_cmd_type method;
+  const char* name;
+};
+
+constexpr std::array<MethodName, 7> kMethodNames = {{
+    {EVHTTP_REQ_GET, "GET"},
+    {EVHTTP_REQ_POST, "POST"},
+    {EVHTTP_REQ_HEAD, "HEAD"},
+    {EVHTTP_REQ_PUT, "PUT"},
+    {EVHTTP_REQ_DELETE, "DELETE"},
+    {EVHTTP_REQ_OPTIONS, "OPTIONS"},
+    {EVHTTP_REQ_PATCH, "PATCH"},
+}};
+
+// Bytes are appended in pieces of this many segments at a time.
+constexpr int kSegmentsAtOnce = 64;
+
+void DropOwner(const void*, std::size_t, void* owner) {
+  delete static_cast<SharedBytes*>(owner);
+}
+
+}  // namespace
+
+std::string HttpMethodName(evhttp_cmd_type method) {
+  for (const MethodName& it : kMethodNames) {
+    if (it.method == method) {
+      return it.name;
+    }
+  }
+  return "UNKNOWN";
+}
+
+std::optional<evhttp_cmd_type> ParseHttpMethod(const std::string& name) {
+  for (const MethodName& it : kMethodNames) {
+    if (name == it.name) {
+      return it.method;
+    }
+  }
+  return std::nullopt;
+}
+
+HeaderList ToHeaderList(const evkeyvalq* headers) {
+  HeaderList out;
+  for (const evkeyval* it = headers->tqh_first; it != nullptr;
+       it = it->next.tqe_next) {
+    out.emplace_back(it->key, it->value);
+  }
+  return out;
+}
+
+void AddHeaders(evkeyvalq* target, const HeaderList& headers) {
+  for (const auto& [name, value] : headers) {
+    evhttp_add_header(target, name.c_str(), value.c_str());
+  }
+}
+
+std::string TakeBytes(evbuffer* buffer) {
+  std::string out;
+  out.reserve(evbuffer_get_length(buffer) + HttpExchange::kBodyPadding);
+  std::array<evbuffer_iovec, kSegmentsAtOnce> segments{};
+  while (evbuffer_get_length(buffer) > 0) {
+    const int count = std::min(
+        kSegmentsAtOnce,
+        evbuffer_peek(buffer, -1, nullptr, segments.data(), kSegmentsAtOnce));
+    const std::size_t before = out.size();
+    for (int i = 0; i < count; ++i) {
+      out.append(static_cast<const char*>(segments[i].iov_base),
+                 segments[i].iov_len);
+    }
+    evbuffer_drain(buffer, out.size() - before);
+  }
+  return out;
+}
+
+void AddReference(evbuffer* buffer, const BodySlice& slice) {
+  if (slice.bytes.empty()) {
+    return;
+  }
+  auto owner = std::make_unique<SharedBytes>(slice.owner);
+  if (evbuffer_add_reference(buffer, slice.bytes.data(), slice.bytes.size(),
+                             &DropOwner, owner.get()) == 0) {
+    // The buffer's clean-up deletes it.
+    static_cast<void>(owner.release());
+  }
+}
+
+std::uint16_t LocalPort(int socket) {
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  if (getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    return 0;
+  }
+  if (address.ss_family == AF_INET6) {
+    return ntohs(reinterpret_cast<const sockaddr_in6*>(&address)->sin6_port);
+  }
+  return ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/internal/server_exchange.cc
@@ -0,0 +1,175 @@
+#include "kingcupdrift/net/internal/server_exchange.h"
+
+#include <memory>
+#include <utility>
+
+#include "kingcupdrift/net/internal/http_convert.h"
+#include "kingcupdrift/net/internal/libevent_handles.h"
+
+namespace kingcupdrift {
+namespace {
+
+// evhttp stops reading while it waits for an answer, so a caller that goes away
+// is seen by an event of its own on the socket.
+class ServerExchange : public HttpExchange {
+ public:
+  ServerExchange(EventLoop& loop, evhttp_request* request)
+      : request_(request),
+        connection_(evhttp_request_get_connection(request)),
+        method_(HttpMethodName(evhttp_request_get_command(request))),
+        target_(evhttp_request_get_uri(request)),
+        headers_(ToHeaderList(evhttp_request_get_input_headers(request))),
+        body_(std::make_shared<const std::string>(
+            TakeBytes(evhttp_request_get_input_buffer(request)))) {
+    evhttp_connection_set_closecb(connection_, &HandleConnectionEnd, this);
+    const evutil_socket_t fd = bufferevent_getfd(stream());
+    close_event_.reset(
+        event_new(loop.base(), fd, EV_CLOSED, &HandlePeerClosed, this));
+    event_add(close_event_.get(), nullptr);
+  }
+
+  ~ServerExchange() override {
+    close_event_.reset();
+    if (request_ == nullptr) {
+      return;
+    }
+    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+    // Nobody can answer any more; this frees the request too.
+    evhttp_connection_free(connection_);
+  }
+
+  const std::string& method() const override { return method_; }
+  const std::string& target() const override { return target_; }
+  const HeaderList& headers() const override { return headers_; }
+  const SharedBytes& body() const override { return body_; }
+  bool IsClosed() const override { return is_closed_; }
+
+  void Respond(int status,
+               const HeaderList& headers,
+               SharedBytes body) override {
+    if (request_ == nullptr) {
+      return;
+    }
+    AddHeaders(evhttp_request_get_output_headers(request_), headers);
+    const BufferHandle buffer(evbuffer_new());
+    const std::string_view bytes = *body;
+    AddReference(buffer.get(), {std::move(body), bytes});
+    evhttp_request* const request = Detach();
+    evhttp_send_reply(request, status, nullptr, buffer.get());
+  }
+
+  void StartChunked(int status, const HeaderList& headers) override {
+    if (request_ == nullptr) {
+      return;
+    }
+    AddHeaders(evhttp_request_get_output_headers(request_), headers);
+    evhttp_send_reply_start(request_, status, nullptr);
+  }
+
+  void WriteChunk(std::string_view bytes) override {
+    if (request_ == nullptr || bytes.empty()) {
+      return;
+    }
+    const BufferHandle buffer(evbuffer_new());
+    evbuffer_add(buffer.get(), bytes.data(), bytes.size());
+    evhttp_send_reply_chunk_with_cb(request_, buffer.get(), &HandleDrained,
+                                    this);
+  }
+
+  void EndChunked() override {
+    if (request_ == nullptr) {
+      return;
+    }
+    evhttp_send_reply_end(Detach());
+  }
+
+  ByteCount Unsent() const override {
+    if (request_ == nullptr) {
+      return ByteCount(0);
+    }
+    const evbuffer* const output = bufferevent_get_output(stream());
+    return ByteCount(static_cast<std::int64_t>(evbuffer_get_length(output)));
+  }
+
+  void OnClosed(std::function<void()> callback) override {
+    closed_callback_ = std::move(callback);
+  }
+  void OnDrained(std::function<void()> callback) override {
+    drained_callback_ = std::move(callback);
+  }
+
+ private:
+  static void HandlePeerClosed(evutil_socket_t, short, void* arg) {
+    auto& self = *static_cast<ServerExchange*>(arg);
+    evhttp_connection* const connection = self.connection_;
+    if (self.request_ == nullptr) {
+      return;
+    }
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    self.request_ = nullptr;
+    evhttp_connection_free(connection);
+    self.NotifyClosed();
+  }
+
+  static void HandleConnectionEnd(evhttp_connection*, void* arg) {
+    auto& self = *static_cast<ServerExchange*>(arg);
+    evhttp_request* const request = std::exchange(self.request_, nullptr);
+    if (request == nullptr) {
+      return;
+    }
+    // A request that evhttp took off its connection is left to its user.
+    if (evhttp_request_get_connection(request) == nullptr) {
+      evhttp_request_free(request);
+    }
+    self.close_event_.reset();
+    self.NotifyClosed();
+  }
+
+  static void HandleDrained(evhttp_connection*, void* arg) {
+    auto& self = *static_cast<ServerExchange*>(arg);
+    if (self.drained_callback_) {
+      // The callback may destroy the exchange.
+      const auto callback = self.drained_callback_;
+      callback();
+    }
+  }
+
+  void NotifyClosed() {
+    is_closed_ = true;
+    if (closed_callback_) {
+      const auto callback = std::move(closed_callback_);
+      callback();
+    }
+  }
+
+  // Hands the request back to evhttp, which frees it once it is sent.
+  evhttp_request* Detach() {
+    close_event_.reset();
+    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+    return std::exchange(request_, nullptr);
+  }
+
+  bufferevent* stream() const {
+    return evhttp_connection_get_bufferevent(connection_);
+  }
+
+  evhttp_request* request_;
+  evhttp_connection* connection_;
+  std::string method_;
+  std::string target_;
+  HeaderList headers_;
+  SharedBytes body_;
+  EventHandle close_event_;
+  std::function<void()> closed_callback_;
+  std::function<void()> drained_callback_;
+  bool is_closed_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<HttpExchange> CreateServerExchange(EventLoop& loop,
+                                                   evhttp_request* request) {
+  return std::make_unique<ServerExchange>(loop, request);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/internal/server_exchange.h
@@ -0,0 +1,19 @@
+#ifndef KINGCUPDRIFT_NET_INTERNAL_SERVER_EXCHANGE_H_
+#define KINGCUPDRIFT_NET_INTERNAL_SERVER_EXCHANGE_H_
+
+#include <memory>
+
+#include "kingcupdrift/net/event_loop.h"
+#include "kingcupdrift/net/http_server.h"
+
+struct evhttp_request;
+
+namespace kingcupdrift {
+
+/// Wraps a request that evhttp has read whole.
+std::unique_ptr<HttpExchange> CreateServerExchange(EventLoop& loop,
+                                                   evhttp_request* request);
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_INTERNAL_SERVER_EXCHANGE_H_
--- a/src/kingcupdrift/net/tcp_peer_link.h
+++ b/src/kingcupdrift/net/tcp_peer_link.h
@@ -15,9 +15,9 @@
   std::string shared_secret;
   /// Larger frames close the connection. Above the store's largest value, so
   /// that any configuration document fits.
-  ByteCount max_frame_bytes{4 * 1024 * 1024};
+  ByteCount max_frame_bytes{4'000'000};
   /// Frames beyond this many unsent bytes are dropped.
-  ByteCount max_queued_bytes{8 * 1024 * 1024};
+  ByteCount max_queued_bytes{8'000'000};
   /// A link in use exchanges heartbeats this often.
   Duration heartbeat_interval = std::chrono::seconds(1);
   /// A link is replaced after this long without an answer.
--- /dev/null
+++ b/tests/net/net_fixture.h
@@ -0,0 +1,131 @@
+#ifndef TESTS_NET_NET_FIXTURE_H_
+#define TESTS_NET_NET_FIXTURE_H_
+
+#include <doctest/doctest.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "kingcupdrift/api/api.h"
+#include "kingcupdrift/net/net.h"
+
+namespace kingcupdrift {
+
+inline constexpr Duration kTestLimit = std::chrono::seconds(10);
+
+/// A loop, a clock and a client on loopback.
+struct NetFixture {
+  NetFixture()
+      : client(HttpClient::Create(loop, clock, HttpClientSettings())) {}
+
+  std::unique_ptr<HttpServer> Serve(HttpServer::Handler handler,
+                                    HttpServerSettings settings = {}) {
+    auto server = HttpServer::Listen(loop, {"127.0.0.1", 0}, settings,
+                                     std::move(handler));
+    REQUIRE(server.has_value());
+    return *std::move(server);
+  }
+
+  /// Runs the loop until `is_done`; fails the test after kTestLimit.
+  void Await(const std::function<bool()>& is_done) {
+    Poll();
+    REQUIRE(loop.RunUntil(is_done, kTestLimit));
+    poll_timer_.reset();
+  }
+
+  Result<HttpResponse> Fetch(HttpRequest request) {
+    std::optional<Result<HttpResponse>> result;
+    const auto call = client->Fetch(
+        std::move(request), [&](auto answer) { result = std::move(answer); });
+    Await([&] { return result.has_value(); });
+    return *std::move(result);
+  }
+
+  EventLoop loop;
+  LoopClock clock{loop};
+  std::unique_ptr<HttpClient> client;
+
+ private:
+  // Wakes the loop, so that states outside of it are looked at too.
+  void Poll() {
+    poll_timer_ =
+        clock.RunAfter(std::chrono::milliseconds(1), [this] { Poll(); });
+  }
+
+  std::unique_ptr<Timer> poll_timer_;
+};
+
+/// A plain TCP connection, for what no HTTP client would send.
+class RawConnection {
+ public:
+  explicit RawConnection(const Endpoint& server)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(fd_, reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+    evutil_make_socket_nonblocking(fd_);
+  }
+  ~RawConnection() { Close(); }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void Write(std::string_view bytes) {
+    static_cast<void>(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  }
+  /// Takes what has arrived; true once the other side closed.
+  bool ReadUntilClosed() {
+    char buf[4096];
+    ssize_t n = 0;
+    while ((n = recv(fd_, buf, sizeof(buf), 0)) > 0) {
+      received.append(buf, static_cast<std::size_t>(n));
+    }
+    return n == 0 || (n < 0 && errno != EAGAIN);
+  }
+  void Close() {
+    if (fd_ >= 0) {
+      evutil_closesocket(fd_);
+      fd_ = -1;
+    }
+  }
+
+  std::string received;
+
+ private:
+  int fd_;
+};
+
+/// A listener that accepts connections and never answers.
+class SilentListener {
+ public:
+  SilentListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(fd_, 16) == 0);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+  }
+  ~SilentListener() { evutil_closesocket(fd_); }
+  SilentListener(const SilentListener&) = delete;
+  SilentListener& operator=(const SilentListener&) = delete;
+
+  Endpoint endpoint;
+
+ private:
+  int fd_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // TESTS_NET_NET_FIXTURE_H_
