Parse, merge and check the operators' configuration

Every option stands once in a table with type, range and default, from which messages and config show are made; a test holds its defaults against those of the structs. Values of both documents are checked before the merge, so that an overridden base value is checked too.

--- a/src/kingcupdrift/config/config.h
+++ b/src/kingcupdrift/config/config.h
@@ -11,6 +11,7 @@
 #include "kingcupdrift/config/config_follower.h"   // IWYU pragma: export
 #include "kingcupdrift/config/config_head.h"       // IWYU pragma: export
 #include "kingcupdrift/config/config_store.h"      // IWYU pragma: export
+#include "kingcupdrift/config/duration_text.h"     // IWYU pragma: export
 #include "kingcupdrift/config/parse_config.h"      // IWYU pragma: export
 #include "kingcupdrift/config/site_config.h"       // IWYU pragma: export
 
--- /dev/null
+++ b/src/kingcupdrift/config/internal/document.h
@@ -0,0 +1,87 @@
+#ifndef KINGCUPDRIFT_CONFIG_INTERNAL_DOCUMENT_H_
+#define KINGCUPDRIFT_CONFIG_INTERNAL_DOCUMENT_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config_error.h"
+#include "kingcupdrift/config/internal/option_table.h"
+
+namespace kingcupdrift::internal {
+
+/// A place in a document.
+struct SourcePlace {
+  std::string file;
+  int line = 0;
+};
+
+/// A value that passed the checks of its option.
+struct OptionValue {
+  std::variant<bool,
+               std::int64_t,
+               double,
+               std::string,
+               Duration,
+               std::vector<std::string>>
+      value;
+  /// As written in TOML.
+  std::string text;
+  SourcePlace place;
+};
+
+/// One table such as [services.lm-pool].
+struct ItemTable {
+  SourcePlace place;
+  std::map<std::string, OptionValue, std::less<>> options;
+
+  /// Null when the option is not set or has another type.
+  template <typename T>
+  const T* Find(std::string_view key) const {
+    const auto it = options.find(key);
+    return it == options.end() ? nullptr : std::get_if<T>(&it->second.value);
+  }
+  /// The place of an option, or of the table when it is not set.
+  const SourcePlace& PlaceOf(std::string_view key) const;
+  /// False only where the table says `enabled = false`.
+  bool IsEnabled() const;
+};
+
+using ItemTables = std::map<std::string, ItemTable, std::less<>>;
+
+/// The checked tables of one document, or of a merge.
+struct Document {
+  std::array<ItemTables, kSections.size()> sections;
+
+  ItemTables& Of(Section section) {
+    return sections[static_cast<std::size_t>(section)];
+  }
+  const ItemTables& Of(Section section) const {
+    return sections[static_cast<std::size_t>(section)];
+  }
+};
+
+/// Largest number of tables in one section.
+inline constexpr std::size_t kMaxItems = 10'000;
+
+/// "services.lm-pool.priority".
+std::string DottedKey(Section section,
+                      std::string_view id,
+                      std::string_view option);
+
+/// Reads `text`, checks each value by itself, and appends faults to `errors`.
+/// Values with faults are left out.
+Document ParseDocument(std::string_view text,
+                       const std::string& name,
+                       ConfigErrors& errors);
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CONFIG_INTERNAL_DOCUMENT_H_
--- /dev/null
+++ b/src/kingcupdrift/config/internal/item_reader.h
@@ -0,0 +1,63 @@
+#ifndef KINGCUPDRIFT_CONFIG_INTERNAL_ITEM_READER_H_
+#define KINGCUPDRIFT_CONFIG_INTERNAL_ITEM_READER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config_error.h"
+#include "kingcupdrift/config/internal/document.h"
+
+namespace kingcupdrift::internal {
+
+/// Copies options of one table into fields, and reports faults between them.
+class ItemReader {
+ public:
+  ItemReader(Section section,
+             const std::string& id,
+             const ItemTable& table,
+             ConfigErrors& errors)
+      : section_(section), id_(id), table_(table), errors_(errors) {}
+
+  /// Leaves `field` as it is when the option is not set.
+  template <typename T>
+  void Assign(std::string_view option, T& field) const {
+    if constexpr (std::is_same_v<T, TokenCount>) {
+      if (const auto* value = table_.Find<std::int64_t>(option)) {
+        field = TokenCount(*value);
+      }
+    } else if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>) {
+      if (const auto* value = table_.Find<std::int64_t>(option)) {
+        field = static_cast<T>(*value);
+      }
+    } else if (const auto* value = table_.Find<T>(option)) {
+      field = *value;
+    }
+  }
+
+  const ItemTable& table() const { return table_; }
+  /// The option's key and place, for messages.
+  std::string Describe(std::string_view option) const;
+
+  /// Reports every option that is always required and not set.
+  void RequireAll();
+  void Require(std::string_view option);
+  /// Reports the option when it is set.
+  void Forbid(std::string_view option, std::string allowed);
+  void AddFault(ConfigFault fault,
+                std::string_view option,
+                std::string found,
+                std::string allowed);
+
+ private:
+  Section section_;
+  const std::string& id_;
+  const ItemTable& table_;
+  ConfigErrors& errors_;
+};
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CONFIG_INTERNAL_ITEM_READER_H_
--- /dev/null
+++ b/src/kingcupdrift/config/internal/merge.cc
@@ -0,0 +1,117 @@
+#include "kingcupdrift/config/internal/merge.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace kingcupdrift::internal {
+namespace {
+
+/// Merges one overlay and collects what it may not set.
+class Merger {
+ public:
+  Merger(Document& merged, const SiteId& site, ConfigErrors& errors)
+      : merged_(merged), site_(site), errors_(errors) {}
+
+  void Apply(const Document& overlay) {
+    for (const Section section : kSections) {
+      for (const auto& [id, table] : overlay.Of(section)) {
+        ApplyTable(section, id, table);
+      }
+    }
+  }
+
+ private:
+  void ApplyTable(Section section,
+                  const std::string& id,
+                  const ItemTable& table) {
+    ItemTables& items = merged_.Of(section);
+    const auto it = items.find(id);
+    if (it != items.end() && !IsForSite(it->second, site_)) {
+      AddNotAllowed(table.place, DottedKey(section, id, ""),
+                    "a table that the base limits to other sites",
+                    "tables of this site");
+      return;
+    }
+    if (section == Section::kSites) {
+      AddNotAllowed(table.place, DottedKey(section, id, ""),
+                    "a site in an overlay", "sites only in the base");
+      return;
+    }
+    const bool is_in_base = it != items.end();
+    ItemTable& target = items[id];
+    if (!is_in_base) {
+      target.place = table.place;
+    }
+    for (const auto& [key, value] : table.options) {
+      ApplyOption(section, id, key, value, target);
+    }
+  }
+
+  void ApplyOption(Section section,
+                   const std::string& id,
+                   const std::string& key,
+                   const OptionValue& value,
+                   ItemTable& target) {
+    const OptionSpec* spec = FindOption(section, key);
+    if (spec->scope == OptionScope::kBaseOnly) {
+      AddNotAllowed(value.place, DottedKey(section, id, key), value.text,
+                    "setting it only in the base");
+      return;
+    }
+    if (spec->scope == OptionScope::kNotOverridden &&
+        target.options.contains(key)) {
+      AddNotAllowed(value.place, DottedKey(section, id, key), value.text,
+                    "the base's value, which an overlay may not change");
+      return;
+    }
+    if (key == "token_digest" && IsTokenOfAnother(id, value)) {
+      AddNotAllowed(value.place, DottedKey(section, id, key),
+                    "a token that the base gives to another workspace",
+                    "a token of its own");
+      return;
+    }
+    target.options.insert_or_assign(key, value);
+  }
+
+  bool IsTokenOfAnother(const std::string& id, const OptionValue& value) const {
+    const ItemTables& workspaces = merged_.Of(Section::kWorkspaces);
+    return std::any_of(
+        workspaces.begin(), workspaces.end(), [&](const auto& it) {
+          const auto* digest =
+              it.second.template Find<std::string>("token_digest");
+          return it.first != id && digest != nullptr &&
+                 *digest == std::get<std::string>(value.value);
+        });
+  }
+
+  void AddNotAllowed(const SourcePlace& place,
+                     std::string key,
+                     std::string found,
+                     std::string allowed) {
+    errors_.push_back({ConfigFault::kNotAllowed, place.file, place.line,
+                       std::move(key), std::move(found), std::move(allowed)});
+  }
+
+  Document& merged_;
+  const SiteId& site_;
+  ConfigErrors& errors_;
+};
+
+}  // namespace
+
+bool IsForSite(const ItemTable& table, const SiteId& site) {
+  const auto* sites = table.Find<std::vector<std::string>>("sites");
+  return sites == nullptr ||
+         std::find(sites->begin(), sites->end(), site.value()) != sites->end();
+}
+
+Document MergeOverlay(Document base,
+                      const Document& overlay,
+                      const SiteId& site,
+                      ConfigErrors& errors) {
+  Merger(base, site, errors).Apply(overlay);
+  return base;
+}
+
+}  // namespace kingcupdrift::internal
--- /dev/null
+++ b/src/kingcupdrift/config/internal/merge.h
@@ -0,0 +1,22 @@
+#ifndef KINGCUPDRIFT_CONFIG_INTERNAL_MERGE_H_
+#define KINGCUPDRIFT_CONFIG_INTERNAL_MERGE_H_
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config_error.h"
+#include "kingcupdrift/config/internal/document.h"
+
+namespace kingcupdrift::internal {
+
+/// Whether the table's `sites` option names `site`, or is not set.
+bool IsForSite(const ItemTable& table, const SiteId& site);
+
+/// Puts the overlay's options over the base's, option by option, and reports
+/// what an overlay may not set.
+Document MergeOverlay(Document base,
+                      const Document& overlay,
+                      const SiteId& site,
+                      ConfigErrors& errors);
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CONFIG_INTERNAL_MERGE_H_
--- /dev/null
+++ b/src/kingcupdrift/config/parse_config.cc
@@ -0,0 +1,171 @@
+#include "kingcupdrift/config/parse_config.h"
+
+#include <map>
+#include <utility>
+
+#include "kingcupdrift/config/internal/document.h"
+#include "kingcupdrift/config/internal/merge.h"
+#include "kingcupdrift/config/internal/site_builder.h"
+
+namespace kingcupdrift {
+namespace {
+
+using internal::Document;
+using internal::DottedKey;
+using internal::ItemTable;
+using internal::OptionSpec;
+using internal::Section;
+
+Document ParseAndMerge(std::string_view base_text,
+                       std::string_view overlay_text,
+                       const SiteId& site,
+                       const DocumentNames& names,
+                       ConfigErrors& errors) {
+  Document base = internal::ParseDocument(base_text, names.base, errors);
+  const Document overlay =
+      internal::ParseDocument(overlay_text, names.overlay, errors);
+  return internal::MergeOverlay(std::move(base), overlay, site, errors);
+}
+
+ConfigValueSource SourceOf(Section section,
+                           const std::string& id,
+                           const ItemTable& table,
+                           const OptionSpec& spec) {
+  ConfigValueSource out;
+  out.key = DottedKey(section, id, spec.key);
+  const auto it = table.options.find(spec.key);
+  if (it == table.options.end()) {
+    out.value = std::string(spec.default_text);
+    out.file = "default";
+    return out;
+  }
+  out.value = it->second.text;
+  out.file = it->second.place.file;
+  out.line = it->second.place.line;
+  return out;
+}
+
+void ExplainTable(Section section,
+                  const std::string& id,
+                  const ItemTable& table,
+                  std::vector<ConfigValueSource>& out) {
+  for (const OptionSpec& it : internal::AllOptions()) {
+    const bool is_shown =
+        table.options.contains(it.key) || !it.default_text.empty();
+    if (it.section == section && is_shown) {
+      out.push_back(SourceOf(section, id, table, it));
+    }
+  }
+}
+
+bool IsShown(Section section,
+             const std::string& id,
+             const ItemTable& table,
+             const SiteConfig& config) {
+  switch (section) {
+    case Section::kSites:
+      return id == config.site.value();
+    case Section::kEngines:
+      return config.engines.contains(EngineId(id)) || !table.IsEnabled();
+    case Section::kServices:
+    case Section::kWorkspaces:
+      return internal::IsForSite(table, config.site);
+  }
+  return false;
+}
+
+/// Reports overlays that set a token which another overlay sets too.
+void CheckTokensBetweenOverlays(const std::map<SiteId, Document>& overlays,
+                                ConfigErrors& errors) {
+  std::map<std::string, std::string> owners;
+  for (const auto& [site, overlay] : overlays) {
+    for (const auto& [id, table] : overlay.Of(Section::kWorkspaces)) {
+      const auto* digest = table.Find<std::string>("token_digest");
+      if (digest == nullptr) {
+        continue;
+      }
+      const auto [it, is_new] = owners.emplace(*digest, site.value());
+      if (!is_new && it->second != site.value()) {
+        const internal::SourcePlace& place = table.PlaceOf("token_digest");
+        errors.push_back({ConfigFault::kNotAllowed, place.file, place.line,
+                          DottedKey(Section::kWorkspaces, id, "token_digest"),
+                          fmt::format("a token of site {}", it->second),
+                          "a token that no other overlay sets"});
+      }
+    }
+  }
+}
+
+}  // namespace
+
+ConfigResult<SiteConfig> ParseSiteConfig(std::string_view base_text,
+                                         std::string_view overlay_text,
+                                         const SiteId& site,
+                                         const DocumentNames& names) {
+  ConfigErrors errors;
+  const Document merged =
+      ParseAndMerge(base_text, overlay_text, site, names, errors);
+  SiteConfig config = internal::BuildSiteConfig(merged, site, errors);
+  if (!errors.empty()) {
+    return tl::unexpected(std::move(errors));
+  }
+  return config;
+}
+
+ConfigResult<std::vector<ConfigValueSource>> ExplainSiteConfig(
+    std::string_view base_text,
+    std::string_view overlay_text,
+    const SiteId& site,
+    const DocumentNames& names) {
+  ConfigErrors errors;
+  const Document merged =
+      ParseAndMerge(base_text, overlay_text, site, names, errors);
+  const SiteConfig config = internal::BuildSiteConfig(merged, site, errors);
+  if (!errors.empty()) {
+    return tl::unexpected(std::move(errors));
+  }
+  std::vector<ConfigValueSource> out;
+  for (const Section section : internal::kSections) {
+    for (const auto& [id, table] : merged.Of(section)) {
+      if (IsShown(section, id, table, config)) {
+        ExplainTable(section, id, table, out);
+      }
+    }
+  }
+  return out;
+}
+
+ConfigErrors CheckDocuments(const ConfigDocuments& documents,
+                            const DocumentNameMap& names) {
+  ConfigErrors errors;
+  const Document base =
+      internal::ParseDocument(documents.base, names.base, errors);
+  if (!errors.empty()) {
+    return errors;
+  }
+  if (base.Of(Section::kSites).size() > kMaxSites) {
+    errors.push_back({ConfigFault::kTooLarge, names.base, 0, "sites",
+                      fmt::format("{} sites", base.Of(Section::kSites).size()),
+                      fmt::format("at most {}", kMaxSites)});
+  }
+  std::map<SiteId, Document> overlays;
+  for (const auto& [site, text] : documents.overlays) {
+    overlays[site] =
+        internal::ParseDocument(text, names.OverlayName(site), errors);
+    if (!base.Of(Section::kSites).contains(site.value())) {
+      errors.push_back({ConfigFault::kUnknownReference, names.OverlayName(site),
+                        0, "", "an overlay for a site that is not defined",
+                        "overlays of sites that the base defines"});
+    }
+  }
+  for (const auto& [id, table] : base.Of(Section::kSites)) {
+    const SiteId site(id);
+    const Document merged =
+        internal::MergeOverlay(base, overlays[site], site, errors);
+    internal::BuildSiteConfig(merged, site, errors);
+  }
+  CheckTokensBetweenOverlays(overlays, errors);
+  return errors;
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/config/parse_config.h
+++ b/src/kingcupdrift/config/parse_config.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_CONFIG_PARSE_CONFIG_H_
 #define KINGCUPDRIFT_CONFIG_PARSE_CONFIG_H_
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,18 @@
   std::string overlay = "overlay";
 };
 
+/// Names that errors use for a base and its overlays. A site without a name
+/// here is named by its identifier.
+struct DocumentNameMap {
+  std::string base = "base";
+  std::map<SiteId, std::string> overlays;
+
+  const std::string& OverlayName(const SiteId& site) const {
+    const auto it = overlays.find(site);
+    return it == overlays.end() ? site.value() : it->second;
+  }
+};
+
 /// Merges `overlay_text` into `base_text`, checks every value and builds the
 /// configuration of `site`. Its generation and digest are left empty. All
 /// faults are reported, not only the first.
@@ -44,9 +57,10 @@
     const DocumentNames& names = {});
 
 /// Checks all sites and what must hold between them: every overlay belongs to a
-/// site that the base lists, and no two workspaces share a token. Returns every
-/// fault; empty means that the documents may be approved.
-ConfigErrors CheckDocuments(const ConfigDocuments& documents);
+/// site that the base lists, and no two overlays set the same token. Returns
+/// every fault; empty means that the documents may be approved.
+ConfigErrors CheckDocuments(const ConfigDocuments& documents,
+                            const DocumentNameMap& names = {});
 
 }  // namespace kingcupdrift
 
