Choose engines by corrected load, sampled cost and cached prefix

A report lags by half a second or more, in which one entry alone can send several seconds of prefill. The estimate is the report, minus what drained since its time stamp at the learned rate, plus own attempts that the report does not count. Engine priorities are virtual deadlines (arrival plus a multiple of the own prefill time), weighed against fixed classes by length, under which a long prompt can starve. Groups are the smallest with an equal share free on each member.

Run: kcd_routing_test, 13 cases. Two failed first: unlimited doubt made every engine infeasible when all reports stopped (doubt is now at most 10 s), and the test's own dispatch had an arbitrary priority.

--- /dev/null
+++ b/src/kingcupdrift/routing/internal/engine_state.h
@@ -0,0 +1,94 @@
+#ifndef KINGCUPDRIFT_ROUTING_INTERNAL_ENGINE_STATE_H_
+#define KINGCUPDRIFT_ROUTING_INTERNAL_ENGINE_STATE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/routing/internal/own_attempt.h"
+
+namespace kingcupdrift {
+
+/// Work that waits at an engine, in prompt tokens and requests, split by
+/// whether it runs before or after a request of a given priority.
+struct WorkAhead {
+  double tokens_ahead = 0;
+  double tokens_behind = 0;
+  double requests_behind = 0;
+};
+
+/// What this entry knows of one engine: its last report, corrected by what this
+/// entry sent since, and rates learned over time.
+class EngineState {
+ public:
+  explicit EngineState(EngineConfig config);
+
+  const EngineConfig& config() const { return config_; }
+  void SetConfig(const EngineConfig& config) { config_ = config; }
+
+  void OnReport(MonotonicTime now, const EngineReport& report);
+  void OnReportFailed() { ++failed_reports_; }
+
+  void Add(OwnAttempt* attempt);
+  void Remove(const OwnAttempt* attempt);
+  /// Memory taken or given back by an attempt, led here or elsewhere.
+  void AddMemory(double tokens) { sent_memory_ += tokens; }
+  void RemoveMemory(double tokens);
+  /// Learns from an attempt that found the engine idle.
+  void ObservePrefill(double tokens, Duration time);
+  /// Learns how well the cached prefixes were predicted.
+  void ObserveCached(double expected, double actual);
+
+  /// The engine answers: neither reports nor anything else failed lately.
+  bool IsAnswering() const { return failed_reports_ < kFailuresToDistrust; }
+  /// Time without a report beyond what is normal; zero when it is trusted.
+  Duration Doubt(MonotonicTime now) const;
+
+  /// `share_ahead`: share of other entries' waiting work that is expected to
+  /// run before a request of this priority.
+  WorkAhead Split(MonotonicTime now, int priority, double share_ahead) const;
+  /// All prompt tokens that wait, as of `now`.
+  double Backlog(MonotonicTime now) const;
+  std::uint32_t InFlight() const;
+  /// Memory that is not taken, in tokens.
+  double FreeMemory() const;
+  double TotalMemory() const;
+  /// Prefill speed, tokens a second.
+  double PrefillRate() const;
+  bool HasRate() const { return prefill_rate_ > 0; }
+  /// Seconds of one engine step, the least time between tokens.
+  double StepSeconds() const;
+  /// Share of expected cached tokens that proved to be cached.
+  double CacheTrust() const { return cache_trust_; }
+
+  /// Failed reports in a row after which an engine is not used.
+  static constexpr int kFailuresToDistrust = 2;
+  /// Age of a report from which an engine is doubted.
+  static constexpr Duration kDoubtAfter = std::chrono::milliseconds(1500);
+  static constexpr Duration kMaxDoubt = std::chrono::seconds(10);
+  static constexpr double kDefaultPrefillRate = 10'000;
+  static constexpr double kDefaultStepSeconds = 0.03;
+
+ private:
+  double DrainedTokens(MonotonicTime now) const;
+
+  EngineConfig config_;
+  EngineReport report_;
+  bool has_report_ = false;
+  MonotonicTime report_time_;
+  int failed_reports_ = 0;
+  /// Reported waiting tokens and requests that this entry did not send.
+  double others_tokens_ = 0;
+  double others_requests_ = 0;
+  double prefill_rate_ = 0;
+  double cache_trust_ = 1;
+  /// Memory of own attempts that the report does not account for.
+  double sent_memory_ = 0;
+  std::vector<OwnAttempt*> own_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ROUTING_INTERNAL_ENGINE_STATE_H_
--- /dev/null
+++ b/src/kingcupdrift/routing/internal/pool_query.h
@@ -0,0 +1,26 @@
+#ifndef KINGCUPDRIFT_ROUTING_INTERNAL_POOL_QUERY_H_
+#define KINGCUPDRIFT_ROUTING_INTERNAL_POOL_QUERY_H_
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/routing/internal/prefix_index.h"
+#include "kingcupdrift/routing/route.h"
+
+namespace kingcupdrift {
+
+/// A request and what is derived from it once for each decision.
+struct PoolQuery {
+  const RouteRequest* request = nullptr;
+  MonotonicTime now;
+  double prompt = 0;
+  /// Prompt and output tokens.
+  double memory = 0;
+  int engine_priority = 0;
+  /// Share of other entries' waiting work that runs before this request.
+  double share_ahead = 0;
+  double tokens_per_block = 0;
+  PrefixIndex::Depths depths{};
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ROUTING_INTERNAL_POOL_QUERY_H_
--- /dev/null
+++ b/src/kingcupdrift/routing/internal/service_pool_choice.cc
@@ -0,0 +1,266 @@
+// Choices of `ServicePool`: estimates, single engines and groups.
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <optional>
+
+#include "kingcupdrift/routing/internal/engine_priority.h"
+#include "kingcupdrift/routing/internal/group_choice.h"
+#include "kingcupdrift/routing/internal/pool_query.h"
+#include "kingcupdrift/routing/internal/service_pool.h"
+
+namespace kingcupdrift {
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+/// Weight, in tokens, of the learned length mix against the waiting work of
+/// this entry when the order of other entries' work is guessed.
+constexpr double kMixWeight = 20'000;
+/// Extra wait assumed for each second without a report.
+constexpr double kDoubtFactor = 2;
+/// Work ahead of a request, in seconds, above which it waits at the entry.
+constexpr double kMaxEngineWaitSeconds = 20;
+
+Duration FromSeconds(double seconds) {
+  constexpr double kLongest = 1e6;
+  return Duration(static_cast<Duration::rep>(std::min(seconds, kLongest) *
+                                             kMicrosPerSecond));
+}
+
+double ToSeconds(Duration duration) {
+  return static_cast<double>(duration.count()) / kMicrosPerSecond;
+}
+
+}  // namespace
+
+/// Candidates of one query.
+class PoolView : public CandidateView {
+ public:
+  PoolView(const ServicePool& pool,
+           const PoolQuery& query,
+           const std::vector<std::size_t>& slots)
+      : pool_(pool), query_(query), slots_(slots) {}
+
+  std::size_t size() const override { return slots_.size(); }
+
+  std::uint32_t InFlight(std::size_t i) const override {
+    return pool_.engines_[slots_[i]]->InFlight();
+  }
+
+  RouteEstimate Estimate(std::size_t i) const override {
+    return pool_.EstimateAt(query_, slots_[i]);
+  }
+
+  std::optional<std::size_t> BestCached() const override {
+    std::optional<std::size_t> best;
+    std::uint32_t depth = 0;
+    for (std::size_t i = 0; i < slots_.size(); ++i) {
+      if (query_.depths[slots_[i]] > depth) {
+        depth = query_.depths[slots_[i]];
+        best = i;
+      }
+    }
+    return best;
+  }
+
+ private:
+  const ServicePool& pool_;
+  const PoolQuery& query_;
+  const std::vector<std::size_t>& slots_;
+};
+
+PoolQuery ServicePool::MakeQuery(const RouteRequest& request) const {
+  PoolQuery query;
+  query.request = &request;
+  query.now = clock_.Now();
+  query.prompt = static_cast<double>(request.prompt_tokens.value());
+  query.memory =
+      query.prompt + static_cast<double>(request.max_output_tokens.value());
+  if (!request.block_digests.empty()) {
+    query.tokens_per_block =
+        query.prompt / static_cast<double>(request.block_digests.size());
+    query.depths = prefixes_.Lookup(request.block_digests);
+  }
+  if (policy_->UsesLengthPriority()) {
+    const Duration prefill = FromSeconds(query.prompt / MeanPrefillRate());
+    const WallTime arrival = clock_.WallNow() - (query.now - request.arrival);
+    query.engine_priority = EnginePriority(
+        arrival, prefill, StretchFactor(config_), request.priority);
+  } else {
+    query.engine_priority = request.priority;
+  }
+  query.share_ahead = ShareAhead(query);
+  return query;
+}
+
+double ServicePool::ShareAhead(const PoolQuery& query) const {
+  double ahead = 0;
+  double total = 0;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt->has_first_token) {
+      continue;
+    }
+    total += attempt->uncached;
+    if (attempt->priority >= query.engine_priority) {
+      ahead += attempt->uncached;
+    }
+  }
+  const double prior =
+      policy_->UsesLengthPriority() ? mix_.ShareBelow(query.prompt) : 1;
+  return (ahead + prior * kMixWeight) / (total + kMixWeight);
+}
+
+RouteEstimate ServicePool::EstimateAt(const PoolQuery& query,
+                                      std::size_t slot) const {
+  const EngineState& engine = *engines_[slot];
+  const double rate = engine.PrefillRate();
+  const double cached =
+      std::min(query.prompt, query.tokens_per_block * query.depths[slot]);
+  const double trusted = cached * engine.CacheTrust();
+  const WorkAhead work =
+      engine.Split(query.now, query.engine_priority, query.share_ahead);
+  const double own = (query.prompt - trusted) / rate;
+  double wait = work.tokens_ahead / rate;
+  if (engine.InFlight() > 0) {
+    wait += engine.StepSeconds() / 2;
+  }
+  wait += kDoubtFactor * ToSeconds(engine.Doubt(query.now));
+  const double step = engine.StepSeconds();
+  const auto output =
+      static_cast<double>(query.request->max_output_tokens.value());
+  RouteEstimate estimate;
+  estimate.wait = FromSeconds(wait);
+  estimate.first_token = FromSeconds(wait + own);
+  estimate.total = FromSeconds(wait + own + output * step);
+  estimate.inflicted_delay = FromSeconds(own * work.requests_behind);
+  estimate.cached = TokenCount(static_cast<std::int64_t>(cached));
+  return estimate;
+}
+
+bool ServicePool::IsFeasible(const PoolQuery& query,
+                             const RouteEstimate& estimate) const {
+  if (query.request->deadline == MonotonicTime{}) {
+    return true;
+  }
+  const double first = ToSeconds(estimate.first_token);
+  const double decode = ToSeconds(estimate.total - estimate.first_token);
+  const double expected = first * errors_.Upper(query.prompt) + decode;
+  return query.now + FromSeconds(expected) <= query.request->deadline;
+}
+
+ServicePool::Slots ServicePool::SlotsWithRoom(const PoolQuery& query,
+                                              const Slots& usable) const {
+  Slots slots;
+  slots.reserve(usable.size());
+  for (const std::size_t slot : usable) {
+    const EngineState& engine = *engines_[slot];
+    if (engine.FreeMemory() < query.memory) {
+      continue;
+    }
+    const WorkAhead work =
+        engine.Split(query.now, query.engine_priority, query.share_ahead);
+    if (work.tokens_ahead <= kMaxEngineWaitSeconds * engine.PrefillRate()) {
+      slots.push_back(slot);
+    }
+  }
+  return slots;
+}
+
+Result<Route> ServicePool::Choose(const RouteRequest& request) {
+  const Slots usable = UsableSlots(request);
+  if (usable.empty()) {
+    return MakeError(ErrorCode::kUnavailable, "no usable engine");
+  }
+  const PoolQuery query = MakeQuery(request);
+  const Slots slots = SlotsWithRoom(query, usable);
+  if (!slots.empty()) {
+    return ChooseSingle(query, slots);
+  }
+  return ChooseGroup(query, usable);
+}
+
+Result<Route> ServicePool::ChooseSingle(const PoolQuery& query,
+                                        const Slots& slots) {
+  const PoolView view(*this, query, slots);
+  const std::size_t i = policy_->Choose(*query.request, config_, view, random_);
+  Route route = MakeRoute(query, {slots[i]});
+  if (IsFeasible(query, route.estimate)) {
+    return route;
+  }
+  const auto best = std::min_element(
+      slots.begin(), slots.end(), [&](std::size_t a, std::size_t b) {
+        return EstimateAt(query, a).total < EstimateAt(query, b).total;
+      });
+  route = MakeRoute(query, {*best});
+  if (!IsFeasible(query, route.estimate)) {
+    return MakeError(ErrorCode::kDeadlineExceeded, "no engine is fast enough");
+  }
+  return route;
+}
+
+Result<Route> ServicePool::ChooseGroup(const PoolQuery& query,
+                                       const Slots& usable) const {
+  std::vector<GroupCandidate> candidates;
+  double largest = 0;
+  for (const std::size_t slot : usable) {
+    const EngineState& engine = *engines_[slot];
+    largest = std::max(largest, engine.TotalMemory());
+    candidates.push_back({slot, engine.FreeMemory(), engine.TotalMemory(),
+                          engine.Backlog(query.now) / engine.PrefillRate()});
+  }
+  if (!CanEverFit(candidates, query.memory)) {
+    return MakeError(ErrorCode::kRefused, "larger than all engines together");
+  }
+  if (query.memory < kMinGroupShare * largest) {
+    return MakeError(ErrorCode::kOverloaded, "no engine has room");
+  }
+  const Slots members = PickGroup(candidates, query.memory);
+  if (members.empty()) {
+    return MakeError(ErrorCode::kOverloaded, "no group of engines has room");
+  }
+  Route route = MakeRoute(query, members);
+  if (!IsFeasible(query, route.estimate)) {
+    return MakeError(ErrorCode::kDeadlineExceeded, "no group is fast enough");
+  }
+  return route;
+}
+
+Route ServicePool::MakeRoute(const PoolQuery& query,
+                             const Slots& members) const {
+  Route route;
+  const auto n = static_cast<double>(members.size());
+  const auto share = static_cast<std::int64_t>(std::ceil(query.memory / n));
+  for (const std::size_t slot : members) {
+    route.members.push_back({Address(slot), TokenCount(share)});
+  }
+  route.engine_priority = query.engine_priority;
+  route.estimate = EstimateAt(query, members.front());
+  return route;
+}
+
+Result<RouteEstimate> ServicePool::Predict(const RouteRequest& request) const {
+  const Slots usable = UsableSlots(request);
+  if (usable.empty()) {
+    return MakeError(ErrorCode::kUnavailable, "no usable engine");
+  }
+  const PoolQuery query = MakeQuery(request);
+  double total_memory = 0;
+  std::optional<RouteEstimate> best;
+  for (const std::size_t slot : usable) {
+    total_memory += engines_[slot]->TotalMemory();
+    const RouteEstimate estimate = EstimateAt(query, slot);
+    if (!best || estimate.total < best->total) {
+      best = estimate;
+    }
+  }
+  if (query.memory > total_memory) {
+    return MakeError(ErrorCode::kRefused, "larger than all engines together");
+  }
+  const double first =
+      ToSeconds(best->first_token) * errors_.Upper(query.prompt);
+  best->total += FromSeconds(first) - best->first_token;
+  best->first_token = FromSeconds(first);
+  return *best;
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/routing/outlier_ejector.h
+++ b/src/kingcupdrift/routing/outlier_ejector.h
@@ -22,6 +22,8 @@
   void OnFault(const EngineId& engine);
 
   bool IsEjected(const EngineId& engine) const;
+  /// Whether any engine is out; cheap.
+  bool HasEjected() const { return clock_.Now() < last_return_; }
   std::size_t EjectedCount() const;
 
   /// Consecutive faults that eject an engine.
@@ -42,6 +44,7 @@
   const Clock& clock_;
   double max_share_;
   std::map<EngineId, Record> records_;
+  MonotonicTime last_return_;
 };
 
 }  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/routing/retry.cc
@@ -0,0 +1,34 @@
+#include "kingcupdrift/routing/retry.h"
+
+#include <algorithm>
+
+namespace kingcupdrift {
+namespace {
+
+/// Doublings after which the delay is at its maximum.
+constexpr int kMaxDoublings = 16;
+
+}  // namespace
+
+void RetryBudget::OnFirstTry() {
+  saved_ = std::min(kMaxSaved, saved_ + ratio_);
+}
+
+bool RetryBudget::TakeRetry() {
+  if (saved_ < 1) {
+    return false;
+  }
+  saved_ -= 1;
+  return true;
+}
+
+Duration RetryDelay(int retry, Random& random) {
+  const int doublings = std::clamp(retry - 1, 0, kMaxDoublings);
+  const Duration ceiling =
+      std::min(kMaxRetryDelay, kMinRetryDelay * (1 << doublings));
+  const auto jitter = static_cast<Duration::rep>(
+      random.Unit() * static_cast<double>(ceiling.count()));
+  return Duration(1 + jitter);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/tests/routing/router_test.cc
@@ -0,0 +1,199 @@
+#include "kingcupdrift/routing/routing.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "tests/routing/routing_harness.h"
+
+namespace kingcupdrift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("An unknown service or an empty one is an error [routing]") {
+  RoutingHarness harness(0);
+  RouteRequest request = harness.Request(1000);
+  CHECK(harness.router.Choose(request).error().code == ErrorCode::kUnavailable);
+  request.service = ServiceId("other");
+  CHECK(harness.router.Choose(request).error().code == ErrorCode::kNotFound);
+}
+
+TEST_CASE("What was sent since the report counts as load [routing]") {
+  RoutingHarness harness(2);
+  harness.ReportAll(RoutingHarness::Idle());
+  harness.Dispatch(harness.Request(50'000), 0);
+  const auto route = harness.router.Choose(harness.Request(60'000));
+  REQUIRE(route);
+  CHECK(route->members.front().engine.id == RoutingHarness::Engine(1));
+}
+
+TEST_CASE("A report that counts an attempt is not corrected by it [routing]") {
+  RoutingHarness harness(1);
+  harness.ReportAll(RoutingHarness::Idle());
+  const RouteRequest sent = harness.Request(50'000);
+  harness.Dispatch(sent, 0);
+  EngineReport report = RoutingHarness::Idle();
+  report.sequence = 1;
+  report.waiting_prefill_tokens = TokenCount(50'000);
+  report.waiting_requests = 1;
+  report.counted_attempts = {sent.attempt};
+  harness.ReportAll(report);
+  CHECK(harness.router.Load(sent.service).waiting_prefill ==
+        TokenCount(50'000));
+}
+
+TEST_CASE("Waiting work drains at the learned rate between reports [routing]") {
+  RoutingHarness harness(1);
+  EngineReport report = RoutingHarness::Idle();
+  report.waiting_prefill_tokens = TokenCount(50'000);
+  report.age = milliseconds(500);
+  harness.ReportAll(report);
+  harness.clock.Advance(milliseconds(500));
+  CHECK(harness.router.Load(ServiceId("lm")).waiting_prefill ==
+        TokenCount(40'000));
+}
+
+TEST_CASE(
+    "An engine whose reports fail is used again once it answers "
+    "[routing]") {
+  RoutingHarness harness(2);
+  harness.ReportAll(RoutingHarness::Idle());
+  const EngineId lost = RoutingHarness::Engine(0);
+  harness.router.OnReportFailed(lost);
+  CHECK(harness.router.IsUsable(lost));
+  harness.router.OnReportFailed(lost);
+  CHECK_FALSE(harness.router.IsUsable(lost));
+  for (int i = 0; i < 20; ++i) {
+    const auto route = harness.router.Choose(harness.Request(1000));
+    REQUIRE(route);
+    CHECK(route->members.front().engine.id == RoutingHarness::Engine(1));
+  }
+  harness.router.OnReport(lost, RoutingHarness::Idle());
+  CHECK(harness.router.IsUsable(lost));
+}
+
+TEST_CASE("An engine without a report for a while is doubted [routing]") {
+  RoutingHarness harness(2);
+  harness.ReportAll(RoutingHarness::Idle());
+  harness.clock.Advance(seconds(5));
+  EngineReport busy = RoutingHarness::Idle();
+  busy.sequence = 1;
+  busy.waiting_prefill_tokens = TokenCount(10'000);
+  harness.router.OnReport(RoutingHarness::Engine(1), busy);
+  const auto route = harness.router.Choose(harness.Request(20'000));
+  REQUIRE(route);
+  CHECK(route->members.front().engine.id == RoutingHarness::Engine(1));
+}
+
+TEST_CASE(
+    "Short prompts get a higher engine priority than long ones, and "
+    "long ones pass what arrives much later [routing]") {
+  RoutingHarness harness(1);
+  harness.ReportAll(RoutingHarness::Idle());
+  const auto long_one = harness.router.Choose(harness.Request(100'000));
+  const auto short_one = harness.router.Choose(harness.Request(1000));
+  REQUIRE(long_one);
+  REQUIRE(short_one);
+  CHECK(short_one->engine_priority > long_one->engine_priority);
+  harness.clock.Advance(seconds(300));
+  const auto late = harness.router.Choose(harness.Request(1000));
+  REQUIRE(late);
+  CHECK(late->engine_priority < long_one->engine_priority);
+}
+
+TEST_CASE(
+    "A cached prefix attracts a request unless the wait there is longer "
+    "[routing]") {
+  RoutingHarness harness(4);
+  harness.ReportAll(RoutingHarness::Idle());
+  RouteRequest request = harness.Request(40'000);
+  request.block_digests = {1, 2, 3, 4};
+  CacheEventBatch batch;
+  batch.events = {{1, true, 1}, {2, true, 2}, {3, true, 3}};
+  batch.last_sequence = 3;
+  harness.router.OnCacheEvents(RoutingHarness::Engine(2), batch);
+  const auto route = harness.router.Choose(request);
+  REQUIRE(route);
+  CHECK(route->members.front().engine.id == RoutingHarness::Engine(2));
+  CHECK(route->estimate.cached == TokenCount(30'000));
+  harness.Dispatch(harness.Request(35'000), 2);
+  const auto other = harness.router.Choose(request);
+  REQUIRE(other);
+  CHECK(other->members.front().engine.id != RoutingHarness::Engine(2));
+}
+
+TEST_CASE(
+    "A prompt beyond one engine's memory gets the smallest group "
+    "[routing]") {
+  RoutingHarness harness(4);
+  harness.ReportAll(RoutingHarness::Idle());
+  const auto route = harness.router.Choose(harness.Request(1'000'000));
+  REQUIRE(route);
+  CHECK(route->members.size() == 3);
+  TokenCount held;
+  for (const RouteMember& member : route->members) {
+    held += member.tokens;
+  }
+  CHECK(held >= TokenCount(1'000'100));
+  const auto too_large = harness.router.Choose(harness.Request(1'700'000));
+  CHECK(too_large.error().code == ErrorCode::kRefused);
+}
+
+TEST_CASE("A group without room now is asked for again later [routing]") {
+  RoutingHarness harness(3);
+  EngineReport full = RoutingHarness::Idle();
+  full.free_memory = TokenCount(100'000);
+  harness.ReportAll(full);
+  CHECK(harness.router.Choose(harness.Request(1'000'000)).error().code ==
+        ErrorCode::kOverloaded);
+}
+
+TEST_CASE("What cannot end before its deadline is not sent [routing]") {
+  RoutingHarness harness(2);
+  harness.ReportAll(RoutingHarness::Idle());
+  RouteRequest request = harness.Request(100'000);
+  request.deadline = harness.clock.Now() + seconds(5);
+  CHECK(harness.router.Choose(request).error().code ==
+        ErrorCode::kDeadlineExceeded);
+}
+
+TEST_CASE("Engines that failed a request are not chosen again [routing]") {
+  RoutingHarness harness(2);
+  harness.ReportAll(RoutingHarness::Idle());
+  RouteRequest request = harness.Request(1000);
+  request.excluded = {RoutingHarness::Engine(0)};
+  for (int i = 0; i < 20; ++i) {
+    const auto route = harness.router.Choose(request);
+    REQUIRE(route);
+    CHECK(route->members.front().engine.id == RoutingHarness::Engine(1));
+  }
+}
+
+TEST_CASE(
+    "A large fleet is seen in a stable subset over all failure domains "
+    "[routing]") {
+  RoutingHarness harness(300);
+  const auto subset = harness.router.Subset();
+  CHECK(subset.size() == 64);
+  std::set<FailureDomain> domains;
+  for (const EngineAddress& engine : subset) {
+    domains.insert(harness.config.engines[engine.id].failure_domain);
+  }
+  CHECK(domains.size() == 3);
+  std::set<EngineId> before;
+  for (const EngineAddress& engine : subset) {
+    before.insert(engine.id);
+  }
+  harness.config.engines.erase(subset.front().id);
+  harness.router.ApplyConfig(harness.config);
+  std::size_t kept = 0;
+  for (const EngineAddress& engine : harness.router.Subset()) {
+    kept += before.contains(engine.id) ? 1 : 0;
+  }
+  CHECK(kept == 63);
+}
+
+}  // namespace
+}  // namespace kingcupdrift
