Add stand-in programs for store, list and plain service

scripts/demo and the process tests need the platform over real sockets.

One program with sub-commands wraps the models: the store speaks the part of the etcd v3 JSON gateway that PlatformStore uses, the list speaks EndpointSlices. A second listener switches faults, so that 'down' can close the first one and callers see a refused connection rather than a broken call.

--- /dev/null
+++ b/tests/fakes/standin/main.cc
@@ -0,0 +1,69 @@
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "kingcupdrift/net/net.h"
+#include "tests/fakes/standin/list_standin.h"
+#include "tests/fakes/standin/service_standin.h"
+#include "tests/fakes/standin/store_standin.h"
+
+ABSL_FLAG(std::uint16_t, port, 0, "Port of the protocol; 0 takes a free one.");
+ABSL_FLAG(std::uint16_t,
+          control_port,
+          0,
+          "Port that switches faults; 0 takes a free one.");
+ABSL_FLAG(std::int64_t, lag_ms, 2000, "list: time until a change shows.");
+ABSL_FLAG(std::int64_t, run_time_ms, 5, "service: time that a call runs.");
+
+namespace kingcupdrift::fakes {
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitCannotListen = 3;
+
+/// Serves until the process is ended.
+template <typename Standin, typename... Args>
+int Serve(Args... args) {
+  EventLoop loop;
+  LoopClock clock(loop);
+  Standin standin(loop, clock, args...);
+  const Result<void> listening = standin.Listen(
+      absl::GetFlag(FLAGS_port), absl::GetFlag(FLAGS_control_port));
+  if (!listening) {
+    fmt::print(stderr, "{}\n", listening.error().detail);
+    return kExitCannotListen;
+  }
+  loop.Run();
+  return 0;
+}
+
+int RunStandin(std::string_view kind) {
+  if (kind == "store") {
+    return Serve<StoreStandin>();
+  }
+  if (kind == "list") {
+    return Serve<ListStandin>(
+        Duration(std::chrono::milliseconds(absl::GetFlag(FLAGS_lag_ms))));
+  }
+  if (kind == "service") {
+    return Serve<ServiceStandin>(
+        Duration(std::chrono::milliseconds(absl::GetFlag(FLAGS_run_time_ms))));
+  }
+  fmt::print(stderr, "standin: unknown kind \"{}\"\n", kind);
+  return kExitUsage;
+}
+
+}  // namespace
+}  // namespace kingcupdrift::fakes
+
+int main(int argc, char** argv) {
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  return kingcupdrift::fakes::RunStandin(rest.size() > 1 ? rest[1] : "");
+}
--- /dev/null
+++ b/tests/fakes/standin/service_standin.h
@@ -0,0 +1,31 @@
+#ifndef TESTS_FAKES_STANDIN_SERVICE_STANDIN_H_
+#define TESTS_FAKES_STANDIN_SERVICE_STANDIN_H_
+
+#include <memory>
+
+#include "tests/fakes/deferred_calls.h"
+#include "tests/fakes/fake_service.h"
+#include "tests/fakes/standin/standin_server.h"
+
+namespace kingcupdrift::fakes {
+
+/// A plain service that runs every call it gets. GET /counters on the control
+/// listener gives the executions of each idempotency key.
+class ServiceStandin {
+ public:
+  ServiceStandin(EventLoop& loop, Clock& clock, Duration run_time);
+
+  Result<void> Listen(std::uint16_t port, std::uint16_t control_port);
+
+ private:
+  void OnRequest(std::unique_ptr<HttpExchange> exchange);
+
+  ServiceModel model_;
+  StandinServer server_;
+  DeferredCalls answers_;
+  Duration run_time_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_STANDIN_SERVICE_STANDIN_H_
--- a/tests/fakes/store_model.cc
+++ b/tests/fakes/store_model.cc
@@ -117,6 +117,11 @@
   }
 }
 
+Duration StoreModel::TimeToLive(LeaseId lease) const {
+  const auto it = leases_.find(lease);
+  return it == leases_.end() ? Duration::zero() : it->second.time_to_live;
+}
+
 void StoreModel::Publish(const StoreEvent& event) {
   history_.push_back(event);
   const std::map<std::uint64_t, WatchRow> watches = watches_;
--- a/tests/fakes/store_model.h
+++ b/tests/fakes/store_model.h
@@ -54,6 +54,10 @@
   /// Errors: kNotFound.
   Result<void> KeepAlive(LeaseId lease);
   void Revoke(LeaseId lease);
+  /// Time that each renewal gives; zero for an unknown lease.
+  Duration TimeToLive(LeaseId lease) const;
+  /// Version of the newest change.
+  StoreVersion version() const { return version_; }
 
   /// Calls `listener` for each change below `prefix` above `after`, at once for
   /// those in the past. Returns a number for StopWatch.
