--- /dev/null
+++ b/tests/fakes/prompt_reader.h
@@ -0,0 +1,32 @@
+#ifndef TESTS_FAKES_PROMPT_READER_H_
+#define TESTS_FAKES_PROMPT_READER_H_
+
+#include <string>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "tests/fakes/engine_model.h"
+
+namespace kingcupdrift::fakes {
+
+/// What an engine reads from a completion's JSON.
+struct ReadPrompt {
+  PromptFacts facts;
+  TokenCount tokens;
+};
+
+/// Reads "prompt" or "messages" as the product does: its JSON text between the
+/// outer quotes or brackets. The answer's seed depends on that text alone, so
+/// that every attempt of a request gives the same answer. kInvalidArgument if
+/// there is none.
+Result<ReadPrompt> ReadPromptOf(const std::string& body);
+
+/// Reads the prompt of an engine request; no blocks if it is malformed.
+PromptFacts ReadRequestPrompt(const EngineStreamRequest& request);
+
+/// The first `n` tokens of the answer to a body.
+std::string ExpectedAnswer(const std::string& body, std::uint64_t n);
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_PROMPT_READER_H_
--- /dev/null
+++ b/tests/fakes/standin/engine_json.h
@@ -0,0 +1,51 @@
+#ifndef TESTS_FAKES_STANDIN_ENGINE_JSON_H_
+#define TESTS_FAKES_STANDIN_ENGINE_JSON_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/net/net.h"
+#include "tests/fakes/engine_model.h"
+
+namespace kingcupdrift::fakes {
+
+using Json = nlohmann::json;
+
+/// The engine protocol of docs/API.md, on the engine's side.
+Json ReportJson(const EngineReport& report);
+Json HoldingsJson(const std::vector<EngineHolding>& holdings);
+Json CacheEventsJson(const CacheEventBatch& batch);
+/// Data of one event of a stream.
+Json ChunkJson(const EngineChunk& chunk, CompletionKind kind);
+Json FinishJson(FinishReason reason,
+                std::uint64_t total_tokens,
+                CompletionKind kind);
+
+/// Sums what a holdings answer reserves for an attempt.
+TokenCount ReservedTokens(const Json& holdings, const AttemptId& attempt);
+
+/// Status that stands for an error.
+int StatusOf(ErrorCode code);
+
+/// Reads the headers and the body of a request that starts work. Errors:
+/// kInvalidArgument.
+Result<EngineModelRequest> ReadWork(const HttpExchange& exchange);
+/// Reads "ID=HOST:PORT,...".
+std::vector<EngineAddress> ReadGroup(std::string_view text);
+ReservationRequest ReadReservation(const std::string& id, const Json& body);
+ReservationRequest ReadImport(const HttpExchange& exchange);
+PlacementOrder ReadOrder(const HttpExchange& exchange, const Json& body);
+
+/// Reads a decimal header; 0 when absent.
+std::int64_t HeaderInteger(const HttpExchange& exchange, std::string_view name);
+/// Undoes percent-encoding.
+std::string DecodePathSegment(std::string_view text);
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_STANDIN_ENGINE_JSON_H_
--- /dev/null
+++ b/tests/fakes/standin/engine_standin.h
@@ -0,0 +1,68 @@
+#ifndef TESTS_FAKES_STANDIN_ENGINE_STANDIN_H_
+#define TESTS_FAKES_STANDIN_ENGINE_STANDIN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tests/fakes/engine_model.h"
+#include "tests/fakes/standin/standin_server.h"
+
+namespace kingcupdrift::fakes {
+
+class EngineConnectionStandin;
+
+/// The engine's model behind the protocol of docs/API.md. Its control listener
+/// has besides:
+///   POST /silence_streams: streams open now never send again;
+///   POST /restart: all work, memory and cache is lost.
+class EngineStandin {
+ public:
+  EngineStandin(EventLoop& loop, Clock& clock, EngineModelOptions options);
+  ~EngineStandin();
+
+  Result<void> Listen(std::uint16_t port, std::uint16_t control_port);
+
+ private:
+  struct GroupCheck;
+  using ExchangePtr = std::unique_ptr<HttpExchange>;
+
+  void AddControls();
+  void OnRequest(ExchangePtr exchange);
+  void OnItem(ExchangePtr exchange, std::string_view path);
+
+  void StartStream(ExchangePtr exchange, CompletionKind kind);
+  void CheckGroup(ExchangePtr exchange,
+                  CompletionKind kind,
+                  EngineModelRequest work,
+                  const std::vector<EngineAddress>& group);
+  void Run(ExchangePtr exchange, CompletionKind kind, EngineModelRequest work);
+  void ResumeStream(ExchangePtr exchange, const AttemptId& attempt);
+  void Cancel(ExchangePtr exchange, const AttemptId& attempt);
+  void Reserve(ExchangePtr exchange, const ReservationId& id);
+  void Release(ExchangePtr exchange, const ReservationId& id);
+  void ListHoldings(ExchangePtr exchange);
+  void Report(ExchangePtr exchange);
+  void CacheEvents(ExchangePtr exchange);
+  void Order(ExchangePtr exchange);
+  void ExportCache(ExchangePtr exchange);
+  void ImportCache(ExchangePtr exchange);
+  /// Answers 200, or the status of the error.
+  void ReplyDone(ExchangePtr exchange, const Result<void>& done);
+  void CloseStream(std::uint64_t id);
+
+  EngineModel model_;
+  std::unique_ptr<HttpClient> peers_;
+  StandinServer server_;
+  std::uint64_t next_id_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<EngineConnectionStandin>> streams_;
+  std::map<std::uint64_t, std::unique_ptr<GroupCheck>> checks_;
+  std::map<AttemptId, CompletionKind> kinds_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_STANDIN_ENGINE_STANDIN_H_
--- a/tests/fakes/standin/main.cc
+++ b/tests/fakes/standin/main.cc
@@ -10,6 +10,7 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "kingcupdrift/net/net.h"
+#include "tests/fakes/standin/engine_standin.h"
 #include "tests/fakes/standin/list_standin.h"
 #include "tests/fakes/standin/service_standin.h"
 #include "tests/fakes/standin/store_standin.h"
@@ -21,10 +22,31 @@
           "Port that switches faults; 0 takes a free one.");
 ABSL_FLAG(std::int64_t, lag_ms, 2000, "list: time until a change shows.");
 ABSL_FLAG(std::int64_t, run_time_ms, 5, "service: time that a call runs.");
+ABSL_FLAG(std::string, engine_id, "engine", "engine: its identifier.");
+ABSL_FLAG(std::int64_t, memory, 400'000, "engine: memory in tokens.");
+ABSL_FLAG(std::int64_t, cache, 400'000, "engine: prefix cache in tokens.");
+ABSL_FLAG(double, prefill_rate, 20'000, "engine: prefill tokens a second.");
+ABSL_FLAG(std::int64_t, decode_step_ms, 20, "engine: time between tokens.");
+ABSL_FLAG(std::int64_t, report_lag_ms, 500, "engine: age of load reports.");
+ABSL_FLAG(bool, fencing, false, "engine: refuses old fencing numbers.");
 
 namespace kingcupdrift::fakes {
 namespace {
 
+EngineModelOptions EngineOptions() {
+  EngineModelOptions options;
+  options.id = EngineId(absl::GetFlag(FLAGS_engine_id));
+  options.memory = TokenCount(absl::GetFlag(FLAGS_memory));
+  options.cache = TokenCount(absl::GetFlag(FLAGS_cache));
+  options.prefill_rate = absl::GetFlag(FLAGS_prefill_rate);
+  options.decode_step =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_decode_step_ms));
+  options.report_lag =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_report_lag_ms));
+  options.is_fencing_enforced = absl::GetFlag(FLAGS_fencing);
+  return options;
+}
+
 constexpr int kExitUsage = 2;
 constexpr int kExitCannotListen = 3;
 
@@ -52,6 +74,9 @@
     return Serve<ListStandin>(
         Duration(std::chrono::milliseconds(absl::GetFlag(FLAGS_lag_ms))));
   }
+  if (kind == "engine") {
+    return Serve<EngineStandin>(EngineOptions());
+  }
   if (kind == "service") {
     return Serve<ServiceStandin>(
         Duration(std::chrono::milliseconds(absl::GetFlag(FLAGS_run_time_ms))));
--- a/tests/fakes/standin/standin_server.cc
+++ b/tests/fakes/standin/standin_server.cc
@@ -116,8 +116,11 @@
   fault_.is_silent = request.value("silent", false);
   fault_.delay = std::chrono::milliseconds(request.value("delay_ms", 0));
   if (fault_.is_down) {
-    server_.reset();
+    if (before_down_) {
+      before_down_();
+    }
     swallowed_.clear();
+    server_.reset();
     return Json::object();
   }
   if (!server_) {
--- a/tests/fakes/standin/standin_server.h
+++ b/tests/fakes/standin/standin_server.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -50,6 +51,11 @@
   /// Adds "METHOD /path" to the control listener.
   void AddControl(const std::string& route, ControlHandler handler);
 
+  /// Called before the listener closes, to drop open exchanges.
+  void SetBeforeDown(std::function<void()> callback) {
+    before_down_ = std::move(callback);
+  }
+
   /// Answers with JSON, unless the reply is to be lost. `is_change` says that
   /// the call changed something.
   void Reply(std::unique_ptr<HttpExchange> exchange,
@@ -73,6 +79,7 @@
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> control_;
   StandinFault fault_;
+  std::function<void()> before_down_;
   int replies_to_lose_ = 0;
   // Requests that silence swallowed; their connections stay open.
   std::vector<std::unique_ptr<HttpExchange>> swallowed_;
--- a/tests/fakes/standin/store_standin.cc
+++ b/tests/fakes/standin/store_standin.cc
@@ -20,6 +20,11 @@
 
 StoreStandin::StoreStandin(EventLoop& loop, Clock& clock)
     : model_(clock), server_(loop, clock), late_writes_(clock) {
+  server_.SetBeforeDown([this] {
+    while (!watches_.empty()) {
+      CloseWatch(watches_.begin()->first);
+    }
+  });
   server_.AddControl("GET /counters",
                      [this](const Json&) { return Counters(); });
   server_.AddControl("POST /late_writes", [this](const Json& request) {
