Parse requests and format answers of the caller protocol

The parser reads top-level members with simdjson on demand and hands out the prompt as the JSON bytes that came, so that neither digests nor the forwarded body need a copy. Members that occur twice are refused: parsers disagree on which one counts, and entry and engine could read different requests. Skipped nested values are not validated in full; the engine does that. Ruled out: a DOM parse, which copies every string, and appending a second "stream" member.

--- a/src/kingcupdrift/api/answer_format.h
+++ b/src/kingcupdrift/api/answer_format.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_API_ANSWER_FORMAT_H_
 #define KINGCUPDRIFT_API_ANSWER_FORMAT_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -30,7 +31,8 @@
 
  private:
   AnswerStart start_;
-  long created_seconds_;
+  std::int64_t created_seconds_;
+  std::string event_prefix_;
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/api/api.h
+++ b/src/kingcupdrift/api/api.h
@@ -6,6 +6,7 @@
 /// answers, without any I/O.
 
 #include "kingcupdrift/api/answer_format.h"        // IWYU pragma: export
+#include "kingcupdrift/api/base64.h"               // IWYU pragma: export
 #include "kingcupdrift/api/body_slices.h"          // IWYU pragma: export
 #include "kingcupdrift/api/completion_parser.h"    // IWYU pragma: export
 #include "kingcupdrift/api/event_stream_parser.h"  // IWYU pragma: export
