--- /dev/null
+++ b/src/kingcupdrift/base/deferred_calls.cc
@@ -0,0 +1,19 @@
+#include "kingcupdrift/base/deferred_calls.h"
+
+#include <utility>
+
+namespace kingcupdrift {
+
+void DeferredCalls::Run(std::function<void()> call) {
+  const std::uint64_t id = next_id_++;
+  auto run = [this, id, call = std::move(call)] {
+    // The call may destroy this object, and the timer owns this function.
+    const std::function<void()> kept_call = call;
+    const std::unique_ptr<Timer> timer = std::move(pending_[id]);
+    pending_.erase(id);
+    kept_call();
+  };
+  pending_[id] = clock_.RunAfter(Duration::zero(), std::move(run));
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/base/deferred_calls.h
@@ -0,0 +1,29 @@
+#ifndef KINGCUPDRIFT_BASE_DEFERRED_CALLS_H_
+#define KINGCUPDRIFT_BASE_DEFERRED_CALLS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "kingcupdrift/base/clock.h"
+
+namespace kingcupdrift {
+
+/// Runs calls in a later turn of the loop, in order. Destroying it drops the
+/// calls that have not run.
+class DeferredCalls {
+ public:
+  explicit DeferredCalls(Clock& clock) : clock_(clock) {}
+
+  void Run(std::function<void()> call);
+
+ private:
+  Clock& clock_;
+  std::uint64_t next_id_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<Timer>> pending_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_BASE_DEFERRED_CALLS_H_
