--- a/src/kingcupdrift/membership/membership.h
+++ b/src/kingcupdrift/membership/membership.h
@@ -24,14 +24,14 @@
 /// Timing and sizes of membership.
 struct MembershipOptions {
   FailureDetectorOptions detector;
-  Duration gossip_interval = std::chrono::milliseconds(500);
+  Duration gossip_interval = std::chrono::seconds(1);
   Duration list_interval = std::chrono::seconds(2);
   /// Time a suspect has to refute before it counts as dead.
   Duration suspicion_time = std::chrono::seconds(3);
   /// Time a dead instance is remembered, so that late gossip cannot revive it.
   Duration dead_memory = std::chrono::minutes(2);
   /// Records in one gossip message.
-  std::size_t max_records = 24;
+  std::size_t max_records = 12;
   /// Peers told at once when this instance begins to leave.
   std::size_t leave_fanout = 16;
 };
