--- a/src/kingcupdrift/entry/internal/completion_request.cc
+++ b/src/kingcupdrift/entry/internal/completion_request.cc
@@ -13,7 +13,7 @@
 /// Wait for a usable engine before a queued request is refused.
 constexpr Duration kNoEngineGrace = std::chrono::seconds(3);
 /// Bytes a caller may leave unread before its engine is no longer read.
-constexpr ByteCount kMaxUnsent{256 * 1024};
+constexpr ByteCount kMaxUnsent{262'144};
 /// Pause before engines that had no room are asked again.
 constexpr Duration kNoRoomDelay = std::chrono::milliseconds(100);
 /// Time added to twice the expected first token before an engine is doubted.
--- a/src/kingcupdrift/membership/failure_detector.cc
+++ b/src/kingcupdrift/membership/failure_detector.cc
@@ -32,13 +32,12 @@
 }
 
 void FailureDetector::OnReply(const InstanceId& target) {
-  const InstanceId id = target;
-  if (open_.erase(id) > 0) {
-    report_(id, true);
+  if (open_.erase(target) > 0) {
+    report_(target, true);
   }
 }
 
-void FailureDetector::OnDirectTimeout(InstanceId target) {
+void FailureDetector::OnDirectTimeout(const InstanceId& target) {
   OpenProbe& probe = open_.at(target);
   if (WasPaused(probe)) {
     Restart(target);
@@ -59,7 +58,7 @@
       clock_.RunAfter(rest, [this, target] { OnIndirectTimeout(target); });
 }
 
-void FailureDetector::OnIndirectTimeout(InstanceId target) {
+void FailureDetector::OnIndirectTimeout(const InstanceId& target) {
   if (WasPaused(open_.at(target))) {
     Restart(target);
     return;
--- a/src/kingcupdrift/membership/failure_detector.h
+++ b/src/kingcupdrift/membership/failure_detector.h
@@ -59,9 +59,8 @@
     std::unique_ptr<Timer> timer;
   };
 
-  // By value: both end the timer whose callback holds the caller's copy.
-  void OnDirectTimeout(InstanceId target);
-  void OnIndirectTimeout(InstanceId target);
+  void OnDirectTimeout(const InstanceId& target);
+  void OnIndirectTimeout(const InstanceId& target);
   void Restart(const InstanceId& target);
   bool WasPaused(const OpenProbe& probe) const;
 
