--- a/tests/fakes/prompt_reader.cc
+++ b/tests/fakes/prompt_reader.cc
@@ -1,45 +1,38 @@
 #include "tests/fakes/prompt_reader.h"
 
-#include <simdjson.h>
-
-#include <array>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "kingcupdrift/api/api.h"
+#include "kingcupdrift/api/internal/json_members.h"
 #include "tests/fakes/answer_text.h"
 
 namespace kingcupdrift::fakes {
 namespace {
 
-constexpr std::array<const char*, 2> kPromptFields = {"prompt", "messages"};
-
 /// The value's text without its outer quotes or brackets.
 std::string_view Inner(std::string_view json) {
-  const std::size_t end = json.find_last_of("]\"");
-  if (json.size() < 2 || end == std::string_view::npos || end == 0) {
-    return {};
-  }
-  return json.substr(1, end - 1);
+  return json.size() < 2 ? std::string_view() : json.substr(1, json.size() - 2);
 }
 
 }  // namespace
 
 Result<ReadPrompt> ReadPromptOf(const std::string& body) {
-  const simdjson::padded_string padded(body);
-  simdjson::ondemand::parser parser;
-  for (const char* field : kPromptFields) {
-    simdjson::ondemand::document document;
-    std::string_view json;
-    if (parser.iterate(padded).get(document) == simdjson::SUCCESS &&
-        document[field].raw_json().get(json) == simdjson::SUCCESS) {
-      const std::string_view prompt = Inner(json);
-      ReadPrompt read;
-      read.facts.answer_seed = AnswerSeed(std::string(prompt));
-      read.facts.blocks = PromptBlockDigests(prompt);
-      read.tokens = EstimateTokens(prompt);
-      return read;
+  const Result<std::vector<JsonMember>> members = ListJsonMembers(body);
+  if (!members) {
+    return tl::unexpected(members.error());
+  }
+  for (const JsonMember& it : *members) {
+    if (it.key != "prompt" && it.key != "messages") {
+      continue;
     }
+    const std::string_view prompt = Inner(it.raw);
+    ReadPrompt read;
+    read.facts.answer_seed = AnswerSeed(std::string(prompt));
+    read.facts.blocks = PromptBlockDigests(prompt);
+    read.tokens = EstimateTokens(prompt);
+    return read;
   }
   return MakeError(ErrorCode::kInvalidArgument, "no prompt");
 }
--- a/tests/fakes/standin/engine_standin.cc
+++ b/tests/fakes/standin/engine_standin.cc
@@ -190,7 +190,8 @@
 void EngineStandin::Run(ExchangePtr exchange,
                         CompletionKind kind,
                         EngineModelRequest work) {
-  std::erase_if(streams_, [](const auto& it) { return it.second->is_closed(); });
+  std::erase_if(streams_,
+                [](const auto& it) { return it.second->is_closed(); });
   const std::uint64_t id = next_id_++;
   const AttemptId attempt = work.attempt;
   auto stream = std::make_unique<EngineConnectionStandin>(
