Add the chain of approved heads, the store and the follower

Approval is one compare-and-swap of the head. Before it the record in force is kept under its own key, so the history has no hole wherever a writer stops. A lost reply repeats the same write until the head moved: that both finds the own record and rules out a late effect. Writing the history after the swap was ruled out, since a crash between the two would lose a record. The follower reads the head every 5 s at the latest besides its watch, because a watch can go silent: at 330 entries this is under 100 reads a second of the store's 2,000. Peers are asked only when the store did not bring a head they reported.

--- a/src/kingcupdrift/config/config.h
+++ b/src/kingcupdrift/config/config.h
@@ -10,6 +10,7 @@
 #include "kingcupdrift/config/config_error.h"      // IWYU pragma: export
 #include "kingcupdrift/config/config_follower.h"   // IWYU pragma: export
 #include "kingcupdrift/config/config_head.h"       // IWYU pragma: export
+#include "kingcupdrift/config/config_proposal.h"   // IWYU pragma: export
 #include "kingcupdrift/config/config_store.h"      // IWYU pragma: export
 #include "kingcupdrift/config/duration_text.h"     // IWYU pragma: export
 #include "kingcupdrift/config/parse_config.h"      // IWYU pragma: export
--- a/src/kingcupdrift/config/config_documents.cc
+++ b/src/kingcupdrift/config/config_documents.cc
@@ -2,6 +2,14 @@
 
 namespace kingcupdrift {
 
+std::size_t TotalBytes(const ConfigDocuments& documents) {
+  std::size_t n = documents.base.size();
+  for (const auto& [site, text] : documents.overlays) {
+    n += text.size();
+  }
+  return n;
+}
+
 DocumentDigests DigestDocuments(const ConfigDocuments& documents) {
   DocumentDigests out;
   out.base = Sha256Hex(documents.base);
--- a/src/kingcupdrift/config/config_documents.h
+++ b/src/kingcupdrift/config/config_documents.h
@@ -12,6 +12,9 @@
 /// Largest configuration document in bytes; the platform's store holds values
 /// up to a megabyte.
 inline constexpr std::size_t kMaxDocumentBytes = 1'000'000;
+/// Largest sum of all documents in bytes, so that one peer message carries
+/// them.
+inline constexpr std::size_t kMaxTotalBytes = 3'000'000;
 /// Largest number of sites.
 inline constexpr std::size_t kMaxSites = 32;
 
@@ -33,6 +36,7 @@
                          const DocumentDigests&) = default;
 };
 
+std::size_t TotalBytes(const ConfigDocuments& documents);
 DocumentDigests DigestDocuments(const ConfigDocuments& documents);
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/config/config_follower.h
+++ b/src/kingcupdrift/config/config_follower.h
@@ -4,6 +4,7 @@
 #include <sigc++/sigc++.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,13 +17,17 @@
 
 /// Intervals and limits of a follower.
 struct ConfigFollowerOptions {
-  /// Mean interval of reads of the head that back up the watch.
-  Duration read_interval = std::chrono::seconds(60);
+  /// Longest interval of reads of the head, which find what a silent watch
+  /// missed; each is jittered down.
+  Duration read_interval = std::chrono::seconds(5);
+  /// Longest time for the records and documents of one head.
+  Duration fetch_limit = std::chrono::seconds(4);
   /// First and longest delay after a store fault; each delay is jittered.
   Duration min_backoff = std::chrono::milliseconds(250);
   Duration max_backoff = std::chrono::seconds(5);
-  /// Shortest time between requests to peers.
-  Duration peer_request_interval = std::chrono::milliseconds(250);
+  /// Time that the store has to bring a head which a peer reported, and time
+  /// between requests to peers.
+  Duration peer_request_interval = std::chrono::milliseconds(750);
   /// Head records kept for peers that are behind.
   std::size_t max_records = 256;
 };
@@ -30,10 +35,13 @@
 /// Counters for metrics and tests.
 struct ConfigFollowerCounts {
   std::uint64_t applied = 0;
+  /// Reads and watches of the store that failed.
   std::uint64_t store_faults = 0;
-  std::uint64_t rejected_replies = 0;
+  /// Heads and peer replies whose chain does not connect to the one in force.
+  std::uint64_t rejected_chains = 0;
+  /// Approved documents that this program cannot read.
   std::uint64_t invalid_documents = 0;
-  std::uint64_t store_calls = 0;
+  std::uint64_t peer_requests = 0;
 };
 
 /// Keeps the newest approved configuration of one site in force. It learns of
--- /dev/null
+++ b/src/kingcupdrift/config/config_head.cc
@@ -0,0 +1,65 @@
+#include "kingcupdrift/config/config_head.h"
+
+#include "kingcupdrift/config/internal/record_json.h"
+
+namespace kingcupdrift {
+
+std::string Serialize(const ConfigHead& head) {
+  internal::RecordJson json;
+  json["generation"] = head.generation.value();
+  internal::PutDigests(head.documents, json);
+  json["approver"] = head.approver;
+  json["approved_at_us"] = head.approved_at.time_since_epoch().count();
+  json["proposal"] = head.proposal;
+  json["previous"] = head.previous;
+  return internal::DumpRecord(json);
+}
+
+std::string HeadDigest(const ConfigHead& head) {
+  return Sha256Hex(Serialize(head));
+}
+
+Result<ConfigHead> ParseConfigHead(std::string_view text) {
+  const auto json = internal::ParseRecord(text);
+  if (!json) {
+    return MakeError(ErrorCode::kProtocol, "the head record is not JSON");
+  }
+  ConfigHead head;
+  head.generation = Generation(internal::TakeInteger(*json, "generation"));
+  head.documents = internal::TakeDigests(*json);
+  head.approver = internal::TakeText(*json, "approver");
+  head.approved_at =
+      WallTime(Duration(internal::TakeInteger(*json, "approved_at_us")));
+  head.proposal = internal::TakeText(*json, "proposal");
+  head.previous = internal::TakeText(*json, "previous");
+  if (head.generation.value() < 1 || Serialize(head) != text) {
+    return MakeError(ErrorCode::kProtocol, "the head record is malformed");
+  }
+  return head;
+}
+
+Result<void> VerifyHeadChain(const std::vector<ConfigHead>& records) {
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    const ConfigHead& record = records[i];
+    const bool is_first = record.generation == Generation(1);
+    if (is_first != record.previous.empty()) {
+      return MakeError(ErrorCode::kProtocol,
+                       fmt::format("generation {} has a wrong link",
+                                   record.generation.value()));
+    }
+    if (i == 0) {
+      continue;
+    }
+    const ConfigHead& before = records[i - 1];
+    if (record.generation != before.generation + Generation(1) ||
+        record.previous != HeadDigest(before)) {
+      return MakeError(
+          ErrorCode::kProtocol,
+          fmt::format("generation {} does not follow generation {}",
+                      record.generation.value(), before.generation.value()));
+    }
+  }
+  return {};
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/config/config_store.h
+++ b/src/kingcupdrift/config/config_store.h
@@ -10,6 +10,7 @@
 #include "kingcupdrift/base/base.h"
 #include "kingcupdrift/config/config_documents.h"
 #include "kingcupdrift/config/config_head.h"
+#include "kingcupdrift/config/config_proposal.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 
 namespace kingcupdrift {
@@ -21,21 +22,6 @@
 inline constexpr char kConfigProposalPrefix[] =
     "/kingcupdrift/config/proposal/";
 
-/// Documents that were submitted and wait for approval.
-struct ConfigProposal {
-  DocumentDigests documents;
-  /// Digest of the head they were written against; empty before the first.
-  std::string based_on;
-  std::string submitter;
-  WallTime submitted_at{};
-
-  friend bool operator==(const ConfigProposal&,
-                         const ConfigProposal&) = default;
-};
-
-std::string Serialize(const ConfigProposal& proposal);
-Result<ConfigProposal> ParseConfigProposal(std::string_view text);
-
 /// The head record in the store.
 struct StoredHead {
   ConfigHead head;
@@ -76,11 +62,11 @@
   void LoadDocuments(const DocumentDigests& digests,
                      Callback<ConfigDocuments> callback);
 
-  /// Stores the documents and a proposal based on `based_on`, the digest of the
-  /// head they were written against. Returns the proposal's digest. Repeating
-  /// it is harmless.
+  /// Stores the documents and a proposal based on `based_on`, the head they
+  /// were written against. Returns the proposal's digest. Repeating it is
+  /// harmless. Errors: kInvalidArgument when a document has a fault.
   void Submit(const ConfigDocuments& documents,
-              const std::string& based_on,
+              const std::optional<StoredHead>& based_on,
               const std::string& submitter,
               Callback<std::string> callback);
 
@@ -88,14 +74,17 @@
                     Callback<ConfigProposal> callback);
 
   /// Makes a proposal the head, by compare-and-swap. Repeating it is harmless.
-  /// Errors: kConflict when the head is not the one that the proposal is based
-  /// on (the proposal stays stored); kUnknownEffect when the store did not say
-  /// within the time limit whether the write took effect.
+  /// A lost reply is resolved by reading the head for the own record; while the
+  /// head has not moved, the same write is repeated, which also keeps the lost
+  /// one from taking effect later. Errors: kConflict when the head is not the
+  /// one that the proposal is based on (the proposal stays stored);
+  /// kInvalidArgument when a document has a fault; kUnknownEffect when the
+  /// store did not say within the time limit whether the write took effect.
   void Approve(const std::string& proposal_digest,
                const std::string& approver,
                Callback<Approval> callback);
 
-  /// The newest `limit` records, oldest first. The chain is not verified.
+  /// The newest `limit` records, oldest first; `VerifyHeadChain` checks them.
   void History(std::size_t limit, Callback<std::vector<ConfigHead>> callback);
 
  private:
--- /dev/null
+++ b/src/kingcupdrift/config/internal/config_reader.cc
@@ -0,0 +1,137 @@
+#include "kingcupdrift/config/internal/config_reader.h"
+
+#include <utility>
+
+namespace kingcupdrift::internal {
+
+std::string HeadRecordKey(Generation generation) {
+  return fmt::format("{}{}", kConfigHeadsPrefix, generation.value());
+}
+
+Result<StoredHead> ParseStoredHead(const StoreValue& stored) {
+  Result<ConfigHead> head = ParseConfigHead(stored.value);
+  if (!head) {
+    return tl::unexpected(head.error());
+  }
+  return StoredHead{std::move(*head), Sha256Hex(stored.value), stored.version};
+}
+
+void ConfigReader::LoadHead(Callback<std::optional<StoredHead>> callback) {
+  store_.Get(kConfigHeadKey, [callback = std::move(callback)](
+                                 Result<std::optional<StoreValue>> value) {
+    if (!value) {
+      callback(tl::unexpected(value.error()));
+      return;
+    }
+    if (!*value) {
+      callback(std::optional<StoredHead>());
+      return;
+    }
+    Result<StoredHead> head = ParseStoredHead(**value);
+    if (!head) {
+      callback(tl::unexpected(head.error()));
+      return;
+    }
+    callback(std::optional<StoredHead>(std::move(*head)));
+  });
+}
+
+void ConfigReader::LoadRecord(Generation generation,
+                              Callback<ConfigHead> callback) {
+  store_.Get(
+      HeadRecordKey(generation), [generation, callback = std::move(callback)](
+                                     Result<std::optional<StoreValue>> value) {
+        if (!value) {
+          callback(tl::unexpected(value.error()));
+          return;
+        }
+        if (!*value) {
+          callback(MakeError(
+              ErrorCode::kNotFound,
+              fmt::format("no record of generation {}", generation.value())));
+          return;
+        }
+        callback(ParseConfigHead((*value)->value));
+      });
+}
+
+void ConfigReader::LoadProposal(const std::string& digest,
+                                Callback<ConfigProposal> callback) {
+  store_.Get(kConfigProposalPrefix + digest,
+             [digest, callback = std::move(callback)](
+                 Result<std::optional<StoreValue>> value) {
+               if (!value) {
+                 callback(tl::unexpected(value.error()));
+                 return;
+               }
+               if (!*value) {
+                 callback(MakeError(ErrorCode::kNotFound,
+                                    fmt::format("no proposal {}", digest)));
+                 return;
+               }
+               if (Sha256Hex((*value)->value) != digest) {
+                 callback(MakeError(ErrorCode::kProtocol,
+                                    "the proposal does not match its digest"));
+                 return;
+               }
+               callback(ParseConfigProposal((*value)->value));
+             });
+}
+
+void ConfigReader::LoadBlob(const std::string& digest,
+                            Callback<std::string> callback) {
+  store_.Get(kConfigBlobPrefix + digest,
+             [digest, callback = std::move(callback)](
+                 Result<std::optional<StoreValue>> value) {
+               if (!value) {
+                 callback(tl::unexpected(value.error()));
+                 return;
+               }
+               if (!*value) {
+                 callback(MakeError(ErrorCode::kNotFound,
+                                    fmt::format("no document {}", digest)));
+                 return;
+               }
+               if (Sha256Hex((*value)->value) != digest) {
+                 callback(MakeError(ErrorCode::kProtocol,
+                                    "a document does not match its digest"));
+                 return;
+               }
+               callback(std::move((*value)->value));
+             });
+}
+
+void ConfigReader::LoadDocuments(const DocumentDigests& digests,
+                                 Callback<ConfigDocuments> callback) {
+  loaded_ = {};
+  documents_callback_ = std::move(callback);
+  wanted_.clear();
+  for (const auto& [site, digest] : digests.overlays) {
+    wanted_.push_back({site, digest});
+  }
+  wanted_.push_back({SiteId(), digests.base});
+  LoadNextDocument();
+}
+
+void ConfigReader::LoadNextDocument() {
+  if (wanted_.empty()) {
+    const auto callback = std::move(documents_callback_);
+    callback(std::move(loaded_));
+    return;
+  }
+  const Wanted next = wanted_.back();
+  wanted_.pop_back();
+  LoadBlob(next.digest, [this, next](Result<std::string> text) {
+    if (!text) {
+      const auto callback = std::move(documents_callback_);
+      callback(tl::unexpected(text.error()));
+      return;
+    }
+    std::string& target =
+        next.site.empty() ? loaded_.base : loaded_.overlays[next.site];
+    target = std::move(*text);
+    LoadNextDocument();
+  });
+}
+
+}  // namespace kingcupdrift::internal
--- /dev/null
+++ b/src/kingcupdrift/config/internal/head_fetcher.cc
@@ -0,0 +1,61 @@
+#include "kingcupdrift/config/internal/head_fetcher.h"
+
+#include <utility>
+
+namespace kingcupdrift::internal {
+
+void HeadFetcher::Start(const ConfigHead& target,
+                        std::vector<std::string> wanted,
+                        Callback callback) {
+  target_ = target;
+  wanted_ = std::move(wanted);
+  callback_ = std::move(callback);
+  FetchNextRecord();
+}
+
+void HeadFetcher::FetchNextRecord() {
+  const Generation next = chain_.tail() + Generation(1);
+  if (chain_.empty() || next >= target_.generation) {
+    if (Result<void> accepted = chain_.Accept(target_); !accepted) {
+      Finish(tl::unexpected(accepted.error()));
+      return;
+    }
+    FetchNextText();
+    return;
+  }
+  reader_.LoadRecord(next, [this](Result<ConfigHead> record) {
+    if (!record) {
+      Finish(tl::unexpected(record.error()));
+      return;
+    }
+    if (Result<void> accepted = chain_.Accept(*record); !accepted) {
+      Finish(tl::unexpected(accepted.error()));
+      return;
+    }
+    FetchNextRecord();
+  });
+}
+
+void HeadFetcher::FetchNextText() {
+  if (wanted_.empty()) {
+    Finish(std::move(texts_));
+    return;
+  }
+  const std::string digest = wanted_.back();
+  wanted_.pop_back();
+  reader_.LoadBlob(digest, [this, digest](Result<std::string> text) {
+    if (!text) {
+      Finish(tl::unexpected(text.error()));
+      return;
+    }
+    texts_[digest] = std::move(*text);
+    FetchNextText();
+  });
+}
+
+void HeadFetcher::Finish(Result<Texts> result) {
+  const Callback callback = std::move(callback_);
+  callback(std::move(result));
+}
+
+}  // namespace kingcupdrift::internal
--- /dev/null
+++ b/src/kingcupdrift/config/internal/peer_asker.h
@@ -0,0 +1,45 @@
+#ifndef KINGCUPDRIFT_CONFIG_INTERNAL_PEER_ASKER_H_
+#define KINGCUPDRIFT_CONFIG_INTERNAL_PEER_ASKER_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift::internal {
+
+/// Asks peers that reported a newer head, one at a time, until the own
+/// generation has caught up.
+class PeerAsker {
+ public:
+  using Ask = std::function<void(const Endpoint& peer)>;
+
+  PeerAsker(Clock& clock, Random& random, Duration interval, Ask ask);
+
+  /// A peer has `generation`, which is above the own one.
+  void Add(Generation generation, const Endpoint& peer);
+  /// Forgets peers whose generation is not above `own`.
+  void OnCaughtUp(Generation own);
+
+ private:
+  struct Candidate {
+    Endpoint peer;
+    Generation generation;
+  };
+  static constexpr std::size_t kMaxCandidates = 8;
+
+  void AskLater();
+  void AskOne();
+
+  Clock& clock_;
+  Random& random_;
+  Duration interval_;
+  Ask ask_;
+  std::deque<Candidate> candidates_;
+  std::unique_ptr<Timer> timer_;
+};
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CONFIG_INTERNAL_PEER_ASKER_H_
--- /dev/null
+++ b/src/kingcupdrift/config/internal/retrying_store.cc
@@ -0,0 +1,132 @@
+#include "kingcupdrift/config/internal/retrying_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupdrift::internal {
+namespace {
+
+constexpr Duration kMinBackoff = std::chrono::milliseconds(50);
+constexpr Duration kMaxBackoff = std::chrono::seconds(2);
+
+}  // namespace
+
+RetryingStore::RetryingStore(PlatformStore& store,
+                             Clock& clock,
+                             Random& random,
+                             MonotonicTime deadline)
+    : store_(store),
+      clock_(clock),
+      random_(random),
+      deadline_(deadline),
+      backoff_(kMinBackoff) {}
+
+template <typename Argument>
+std::function<void(Argument)> RetryingStore::Guard(
+    std::function<void(Argument)> callback) {
+  std::weak_ptr<bool> alive = alive_;
+  return [alive = std::move(alive),
+          callback = std::move(callback)](Argument argument) {
+    if (!alive.expired()) {
+      callback(std::move(argument));
+    }
+  };
+}
+
+void RetryingStore::Get(const std::string& key, GetCallback callback) {
+  store_.Get(key, Guard<Result<std::optional<StoreValue>>>(
+                      [this, key, callback = std::move(callback)](auto result) {
+                        if (result || !IsTransient(result.error().code)) {
+                          callback(std::move(result));
+                          return;
+                        }
+                        RetryGet(key, callback);
+                      }));
+}
+
+void RetryingStore::RetryGet(const std::string& key, GetCallback callback) {
+  Delay([this, key, callback = std::move(callback)](Result<void> waited) {
+    if (!waited) {
+      callback(tl::unexpected(waited.error()));
+      return;
+    }
+    Get(key, callback);
+  });
+}
+
+void RetryingStore::PutOnce(const std::string& key,
+                            const std::string& value,
+                            DoneCallback callback) {
+  CompareAndSwap(
+      key, StoreVersion(0), value,
+      [this, key, value,
+       callback = std::move(callback)](Result<StoreVersion> written) {
+        if (written || written.error().code == ErrorCode::kConflict) {
+          callback({});
+        } else if (IsTransient(written.error().code)) {
+          RetryPut(key, value, callback);
+        } else {
+          callback(tl::unexpected(written.error()));
+        }
+      });
+}
+
+void RetryingStore::RetryPut(const std::string& key,
+                             const std::string& value,
+                             DoneCallback callback) {
+  Delay(
+      [this, key, value, callback = std::move(callback)](Result<void> waited) {
+        if (!waited) {
+          callback(std::move(waited));
+          return;
+        }
+        PutOnce(key, value, callback);
+      });
+}
+
+void RetryingStore::CompareAndSwap(const std::string& key,
+                                   StoreVersion expected,
+                                   const std::string& value,
+                                   WriteCallback callback) {
+  store_.CompareAndSwap(key, expected, value, LeaseId(0),
+                        Guard<Result<StoreVersion>>(std::move(callback)));
+}
+
+void RetryingStore::Delay(const DoneCallback& callback) {
+  const auto jitter =
+      Duration(static_cast<Duration::rep>(random_.Below(backoff_.count())));
+  const Duration delay = backoff_ / 2 + jitter;
+  backoff_ = std::min(backoff_ * 2, kMaxBackoff);
+  const bool is_late = clock_.Now() + delay > deadline_;
+  const std::uint64_t id = next_timer_++;
+  timers_[id] = clock_.RunAfter(
+      is_late ? deadline_ - clock_.Now() : delay,
+      [this, id, is_late, callback]() { EndDelay(id, is_late, callback); });
+}
+
+void RetryingStore::EndDelay(std::uint64_t timer,
+                             bool is_late,
+                             const DoneCallback& callback) {
+  timers_.erase(timer);
+  if (is_late) {
+    callback(MakeError(ErrorCode::kDeadlineExceeded,
+                       "the store gave no answer within the limit"));
+    return;
+  }
+  callback({});
+}
+
+bool IsTransient(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kUnknownEffect:
+    case ErrorCode::kDeadlineExceeded:
+    case ErrorCode::kConnectionLost:
+    case ErrorCode::kOverloaded:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace kingcupdrift::internal
--- a/src/kingcupdrift/config/parse_config.cc
+++ b/src/kingcupdrift/config/parse_config.cc
@@ -143,6 +143,12 @@
   if (!errors.empty()) {
     return errors;
   }
+  if (TotalBytes(documents) > kMaxTotalBytes) {
+    errors.push_back({ConfigFault::kTooLarge, names.base, 0, "",
+                      fmt::format("{} bytes in all documents together",
+                                  TotalBytes(documents)),
+                      fmt::format("at most {}", kMaxTotalBytes)});
+  }
   if (base.Of(Section::kSites).size() > kMaxSites) {
     errors.push_back({ConfigFault::kTooLarge, names.base, 0, "sites",
                       fmt::format("{} sites", base.Of(Section::kSites).size()),
