Admit by limits, deadline and fair share, and queue by turns

Limits across entries: exchanging running totals (loss and repetition are harmless) was taken over splitting each limit by the number of entries, which wastes what unevenly loaded entries do not use. A bucket may go into debt, or a prompt above one second's burst could never pass. Start-time fair queueing among workspaces; large prompts by age beside it, with a bound on what overtakes them and at most one in four starts.

--- a/src/kingcupdrift/admission/admission_controller.h
+++ b/src/kingcupdrift/admission/admission_controller.h
@@ -26,6 +26,8 @@
   ServiceId service;
   /// Prompt and output tokens; zero for plain services.
   TokenCount tokens;
+  /// As in `QueuedRequest`: waits beside the smaller ones, not behind them.
+  bool is_large = false;
   MonotonicTime deadline;
   /// Expected time from the dispatch to the last token (`RouteEstimate`).
   Duration predicted_total{0};
@@ -33,10 +35,11 @@
 
 /// Decides at arrival whether a request may enter, and again before dispatch.
 ///
-/// Limits of a workspace hold over all entries: peers exchange running totals.
-/// With N entries that gossip with delay D, the requests admitted over a long
-/// time exceed the limit by at most the burst of one second plus what N-1
-/// entries admit within D.
+/// Limits of a workspace hold over all entries: peers exchange running totals,
+/// and each entry charges its own buckets with what the others used. With N
+/// entries that hear each other within D, what is admitted over a time T is at
+/// most limit * (T + N * (kBurst + D)) plus one request an entry: a bucket with
+/// anything left admits a request of any size and goes into debt for it.
 class AdmissionController {
  public:
   AdmissionController(const Clock& clock, InstanceId instance);
@@ -44,13 +47,14 @@
 
   void ApplyConfig(const SiteConfig& config);
 
-  /// Running totals of another entry.
+  /// Running totals of another entry. Totals lower than known ones are late
+  /// messages and are ignored; call `ForgetPeer` when a peer restarts.
   void OnPeerUsage(const InstanceId& peer,
                    const std::vector<WorkspaceUsage>& usage);
-  /// A peer is gone for good; its totals count no more.
+  /// A peer is gone or restarted; its next totals count from there on.
   void ForgetPeer(const InstanceId& peer);
-  /// Own totals, at most `max_items`: those that changed longest ago unsent
-  /// first, so that repeated calls cover all workspaces.
+  /// Own totals, at most `max_items`; repeated calls go round all workspaces
+  /// that this entry served.
   std::vector<WorkspaceUsage> LocalUsage(std::size_t max_items);
 
   /// Decides at arrival. On success the workspace's usage is charged and the
--- a/src/kingcupdrift/admission/fair_queue.h
+++ b/src/kingcupdrift/admission/fair_queue.h
@@ -37,8 +37,9 @@
 /// queueing among workspaces, then by arrival. Large prompts are served by age
 /// beside that, with bounds in both directions:
 ///  - while a large prompt waits without room, at most `kMaxOvertakingTokens`
-///    of smaller ones start before it; then smaller ones wait for it, for at
-///    most `kMaxLargeHold`, after which another such allowance begins;
+///    of smaller ones start before it; then those above `kNeverHeld` wait for
+///    it, for at most `kMaxLargeHold`, after which another such allowance
+///    begins;
 ///  - of each `kLargeTurn` starts at most one is a large prompt while smaller
 ///    ones wait.
 class FairQueue {
@@ -66,6 +67,7 @@
   TokenCount Tokens(const ServiceId& service) const;
 
   static constexpr TokenCount kMaxOvertakingTokens{2'000'000};
+  static constexpr TokenCount kNeverHeld{8'000};
   static constexpr Duration kMaxLargeHold = std::chrono::seconds(5);
   static constexpr int kLargeTurn = 4;
 
--- /dev/null
+++ b/src/kingcupdrift/admission/internal/service_queue.h
@@ -0,0 +1,86 @@
+#ifndef KINGCUPDRIFT_ADMISSION_INTERNAL_SERVICE_QUEUE_H_
+#define KINGCUPDRIFT_ADMISSION_INTERNAL_SERVICE_QUEUE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "kingcupdrift/admission/fair_queue.h"
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift {
+
+/// Waiting requests of one service, in the order that `FairQueue` promises.
+class ServiceQueue {
+ public:
+  using TryDispatch = FairQueue::TryDispatch;
+  /// Called with each request that left by dispatch.
+  using OnLeft = std::function<void(const QueuedRequest&)>;
+
+  /// `sequence` orders requests that arrived together, and names this one.
+  void Push(std::uint64_t sequence, QueuedRequest request);
+  /// Takes out a request that was pushed with `sequence`.
+  QueuedRequest Take(std::uint64_t sequence, const QueuedRequest& like);
+  void Drain(MonotonicTime now,
+             const TryDispatch& try_dispatch,
+             const OnLeft& on_left);
+
+  std::size_t Size() const { return small_count_ + large_.size(); }
+  TokenCount Tokens() const { return tokens_; }
+
+ private:
+  using Items = std::map<std::uint64_t, QueuedRequest>;
+
+  /// Requests of one workspace and priority.
+  struct Flow {
+    Items items;
+    /// Virtual time at which its next request starts.
+    double start = 0;
+  };
+
+  /// All flows of one priority: start-time fair queueing.
+  struct Level {
+    std::map<WorkspaceId, Flow> flows;
+    /// Flows with requests, by virtual start.
+    std::set<std::pair<double, WorkspaceId>> ready;
+    double virtual_time = 0;
+  };
+
+  enum class Offer { kDispatched, kNoRoom, kNothing };
+
+  Offer OfferLarge(MonotonicTime now,
+                   const TryDispatch& try_dispatch,
+                   const OnLeft& on_left);
+  void DrainSmall(MonotonicTime now,
+                  const TryDispatch& try_dispatch,
+                  const OnLeft& on_left);
+  void CountOvertaking(const QueuedRequest& request, MonotonicTime now);
+  /// Offers heads of one level until none starts; false ends the round.
+  bool DrainLevel(Level& level,
+                  MonotonicTime now,
+                  const TryDispatch& try_dispatch,
+                  const OnLeft& on_left,
+                  int& misses);
+  void FinishHead(Level& level, const WorkspaceId& workspace);
+  bool MayStartLarge() const;
+  bool IsHolding(MonotonicTime now) const;
+  bool IsHeld(const QueuedRequest& request, MonotonicTime now) const;
+
+  std::map<int, Level, std::greater<>> levels_;
+  std::size_t small_count_ = 0;
+  /// Oldest first.
+  Items large_;
+  TokenCount tokens_;
+  /// Smaller requests started since the last large one.
+  int starts_since_large_ = FairQueue::kLargeTurn;
+  /// The oldest large request found no room, and what overtook it since.
+  bool is_large_waiting_ = false;
+  TokenCount overtaking_;
+  MonotonicTime hold_until_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ADMISSION_INTERNAL_SERVICE_QUEUE_H_
--- /dev/null
+++ b/src/kingcupdrift/admission/internal/workspace_account.cc
@@ -0,0 +1,85 @@
+#include "kingcupdrift/admission/internal/workspace_account.h"
+
+#include <algorithm>
+
+#include "kingcupdrift/admission/admission_controller.h"
+
+namespace kingcupdrift {
+namespace {
+
+double Burst(double rate) {
+  constexpr double kBurstSeconds =
+      std::chrono::duration<double>(AdmissionController::kBurst).count();
+  return rate * kBurstSeconds;
+}
+
+/// Adds `amount` to a running total, less what is owed.
+void AddToTotal(std::int64_t amount, std::int64_t& total, std::int64_t& owed) {
+  const std::int64_t offset = std::min(amount, owed);
+  owed -= offset;
+  total += amount - offset;
+}
+
+}  // namespace
+
+WorkspaceAccount::WorkspaceAccount(const WorkspaceConfig& config,
+                                   MonotonicTime now)
+    : config_(config),
+      requests_(config.requests_per_second,
+                Burst(config.requests_per_second),
+                now),
+      tokens_(config.tokens_per_second, Burst(config.tokens_per_second), now) {}
+
+void WorkspaceAccount::SetConfig(const WorkspaceConfig& config,
+                                 MonotonicTime now) {
+  config_ = config;
+  requests_.SetRate(config.requests_per_second,
+                    Burst(config.requests_per_second), now);
+  tokens_.SetRate(config.tokens_per_second, Burst(config.tokens_per_second),
+                  now);
+}
+
+Duration WorkspaceAccount::TimeUntilAllowed(MonotonicTime now) {
+  return std::max(requests_.TimeUntilAny(now), tokens_.TimeUntilAny(now));
+}
+
+void WorkspaceAccount::Charge(TokenCount tokens, MonotonicTime now) {
+  requests_.Charge(1, now);
+  tokens_.Charge(static_cast<double>(tokens.value()), now);
+  AddToTotal(1, total_requests_, owed_requests_);
+  AddToTotal(tokens.value(), total_tokens_, owed_tokens_);
+}
+
+void WorkspaceAccount::GiveBack(TokenCount tokens, MonotonicTime now) {
+  requests_.GiveBack(1, now);
+  tokens_.GiveBack(static_cast<double>(tokens.value()), now);
+  owed_requests_ += 1;
+  owed_tokens_ += tokens.value();
+}
+
+void WorkspaceAccount::OnPeerTotals(const InstanceId& peer,
+                                    const WorkspaceUsage& totals,
+                                    MonotonicTime now) {
+  const auto [it, is_new] =
+      peers_.try_emplace(peer, PeerTotals{totals.requests, totals.tokens});
+  if (is_new) {
+    return;
+  }
+  PeerTotals& known = it->second;
+  const std::int64_t requests = totals.requests - known.requests;
+  const std::int64_t tokens = totals.tokens - known.tokens;
+  if (requests > 0) {
+    requests_.Charge(static_cast<double>(requests), now);
+    known.requests = totals.requests;
+  }
+  if (tokens > 0) {
+    tokens_.Charge(static_cast<double>(tokens), now);
+    known.tokens = totals.tokens;
+  }
+}
+
+WorkspaceUsage WorkspaceAccount::Totals() const {
+  return {config_.id, total_requests_, total_tokens_};
+}
+
+}  // namespace kingcupdrift
