--- /dev/null
+++ b/src/kingcupdrift/idempotency/internal/journal_shard.cc
@@ -0,0 +1,388 @@
+#include "kingcupdrift/idempotency/internal/journal_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kingcupdrift/idempotency/internal/shard_rules.h"
+
+namespace kingcupdrift {
+namespace {
+
+constexpr Logger kLog("journal");
+
+// Keeps the doubling of the pause from overflowing.
+constexpr int kMaxBackoffDoublings = 16;
+
+// States that another entry may still change need a read that is newer than
+// the question.
+bool MayChange(BeginStatus status) {
+  return status == BeginStatus::kInProgress ||
+         status == BeginStatus::kUnknownOutcome;
+}
+
+}  // namespace
+
+JournalShard::JournalShard(ShardContext context, std::string shard_key)
+    : context_(context),
+      shard_key_(std::move(shard_key)),
+      is_alive_(std::make_shared<bool>(true)) {}
+
+JournalShard::~JournalShard() = default;
+
+void JournalShard::Add(ShardOperation operation, MonotonicTime give_up) {
+  const std::uint64_t id = next_arrival_++;
+  operation.arrival = id;
+  const MonotonicTime due = operation.due;
+  const Duration wait = give_up - context_.clock.Now();
+  operation.timer =
+      context_.clock.RunAfter(wait, [this, id] { OnTimeout(id); });
+  operations_.emplace(id, std::move(operation));
+  if (!is_busy_) {
+    Schedule(due);
+  }
+}
+
+void JournalShard::CancelBegin(const Digest128& key, const Digest128& attempt) {
+  for (auto& [id, operation] : operations_) {
+    const bool is_meant = operation.kind == ShardOperation::Kind::kBegin &&
+                          operation.key == key && operation.attempt == attempt;
+    if (is_meant) {
+      Withdraw(id);
+      return;
+    }
+  }
+}
+
+void JournalShard::OnTimeout(std::uint64_t id) {
+  ShardOperation& operation = operations_.at(id);
+  const std::unique_ptr<Timer> timer = std::move(operation.timer);
+  if (operation.kind == ShardOperation::Kind::kFinish) {
+    const auto on_done = std::exchange(operation.on_done, nullptr);
+    if (on_done) {
+      on_done(MakeError(ErrorCode::kDeadlineExceeded, "not yet durable"));
+    }
+    return;
+  }
+  const auto on_begin = std::exchange(operation.on_begin, nullptr);
+  BeginResult result;
+  result.status = operation.may_be_written ? BeginStatus::kUnresolved
+                                           : BeginStatus::kStoreUnavailable;
+  Withdraw(id);
+  if (on_begin) {
+    on_begin(std::move(result));
+  }
+}
+
+void JournalShard::Withdraw(std::uint64_t id) {
+  ShardOperation& operation = operations_.at(id);
+  if (!operation.may_be_written) {
+    operations_.erase(id);
+    return;
+  }
+  operation.kind = ShardOperation::Kind::kWithdraw;
+  operation.on_begin = nullptr;
+  operation.timer.reset();
+  operation.due = context_.clock.Now();
+  if (!is_busy_) {
+    Schedule(operation.due);
+  }
+}
+
+void JournalShard::Schedule(MonotonicTime time) {
+  const MonotonicTime start = std::max(time, not_before_);
+  const Duration wait = std::min(start, EarliestDue()) - context_.clock.Now();
+  turn_timer_ = context_.clock.RunAfter(wait, [this] { Turn(); });
+}
+
+MonotonicTime JournalShard::EarliestDue() const {
+  MonotonicTime earliest = MonotonicTime::max();
+  for (const auto& [id, operation] : operations_) {
+    earliest = std::min(earliest, operation.due);
+  }
+  return std::max(earliest, not_before_);
+}
+
+void JournalShard::DropOutdated() {
+  const WallTime now = context_.clock.WallNow();
+  std::erase_if(operations_, [now](const auto& item) {
+    return item.second.keep_until < now && !item.second.on_begin &&
+           !item.second.on_done;
+  });
+}
+
+void JournalShard::Turn() {
+  if (is_busy_) {
+    return;
+  }
+  turn_timer_.reset();
+  DropOutdated();
+  if (operations_.empty()) {
+    return;
+  }
+  if (has_state_) {
+    Execute(MakePlan());
+  } else if (EarliestDue() <= context_.clock.Now()) {
+    Read();
+  } else {
+    Schedule(EarliestDue());
+  }
+}
+
+JournalShard::Plan JournalShard::MakePlan() {
+  Plan plan;
+  plan.next = state_;
+  for (auto& [id, operation] : operations_) {
+    PlanOperation(id, operation, plan);
+  }
+  return plan;
+}
+
+void JournalShard::PlanOperation(std::uint64_t id,
+                                 ShardOperation& operation,
+                                 Plan& plan) {
+  if (plan.changed_keys.contains(operation.key)) {
+    // The answer would rest on a change that is not durable yet.
+    plan.is_due = plan.is_due || operation.due <= context_.clock.Now();
+    return;
+  }
+  const std::size_t changes = plan.changing.size();
+  switch (operation.kind) {
+    case ShardOperation::Kind::kBegin:
+      PlanBegin(id, operation, plan);
+      break;
+    case ShardOperation::Kind::kWithdraw:
+      PlanWithdraw(id, operation, plan);
+      break;
+    case ShardOperation::Kind::kFinish:
+      PlanFinish(id, operation, plan);
+      break;
+  }
+  if (plan.changing.size() > changes) {
+    plan.changed_keys.insert(operation.key);
+    plan.is_due = plan.is_due || operation.due <= context_.clock.Now();
+  }
+}
+
+void JournalShard::PlanBegin(std::uint64_t id,
+                             ShardOperation& operation,
+                             Plan& plan) {
+  BeginFacts facts;
+  facts.key = operation.key;
+  facts.attempt = operation.attempt;
+  facts.fingerprint = operation.fingerprint;
+  facts.run_until = operation.run_until;
+  facts.now = context_.clock.WallNow();
+  facts.was_sent = operation.was_sent;
+  const BeginRuling ruling = ApplyBegin(facts, context_.limits, plan.next);
+  if (ruling.is_change) {
+    plan.changing.push_back(id);
+    return;
+  }
+  if (MayChange(ruling.status) && operation.arrival > state_as_of_) {
+    plan.needs_read = true;
+    return;
+  }
+  BeginResult result{ruling.status, ruling.result};
+  const bool is_late = facts.now > operation.keep_until;
+  if (ruling.status == BeginStatus::kStarted && is_late) {
+    // The process was paused past the key's window; the intent must not run.
+    result.status = BeginStatus::kExpired;
+  }
+  plan.settled.push_back(id);
+  plan.answers.push_back(
+      [callback = std::move(operation.on_begin), result] { callback(result); });
+}
+
+void JournalShard::PlanWithdraw(std::uint64_t id,
+                                ShardOperation& operation,
+                                Plan& plan) {
+  if (ApplyWithdraw(operation.key, operation.attempt, plan.next)) {
+    plan.changing.push_back(id);
+    return;
+  }
+  if (operation.may_be_written && doubtful_version_) {
+    plan.needs_fence = true;
+    return;
+  }
+  plan.settled.push_back(id);
+}
+
+void JournalShard::PlanFinish(std::uint64_t id,
+                              ShardOperation& operation,
+                              Plan& plan) {
+  const FinishRuling ruling =
+      ApplyFinish(operation.key, operation.attempt, operation.target,
+                  operation.result, context_.limits, plan.next);
+  if (ruling == FinishRuling::kChange) {
+    plan.changing.push_back(id);
+    return;
+  }
+  const bool is_foreign = ruling == FinishRuling::kForeign;
+  if (is_foreign && operation.arrival > state_as_of_) {
+    plan.needs_read = true;
+    return;
+  }
+  plan.settled.push_back(id);
+  if (!operation.on_done) {
+    return;
+  }
+  plan.answers.push_back([callback = std::move(operation.on_done), is_foreign] {
+    callback(is_foreign ? MakeError(ErrorCode::kConflict,
+                                    "the entry is not this attempt's")
+                        : Result<void>());
+  });
+}
+
+void JournalShard::Execute(Plan plan) {
+  for (const std::uint64_t id : plan.settled) {
+    operations_.erase(id);
+  }
+  const bool is_open = not_before_ <= context_.clock.Now();
+  const bool wants_write = plan.needs_fence || plan.is_due;
+  if (plan.needs_read && is_open) {
+    Read();
+  } else if (wants_write && is_open) {
+    Write(plan);
+  } else if (!operations_.empty()) {
+    Schedule(EarliestDue());
+  }
+  Answering(plan.answers, is_alive_);
+}
+
+void JournalShard::Answering(const std::vector<Answer>& answers,
+                             const std::weak_ptr<bool>& guard) {
+  for (const Answer& answer : answers) {
+    if (guard.expired()) {
+      return;
+    }
+    answer();
+  }
+}
+
+void JournalShard::Read() {
+  is_busy_ = true;
+  ++context_.counters.reads;
+  const std::uint64_t as_of = next_arrival_ - 1;
+  const std::weak_ptr<bool> guard = is_alive_;
+  context_.store.Get(
+      shard_key_,
+      [this, guard, as_of](const Result<std::optional<StoreValue>>& value) {
+        if (!guard.expired()) {
+          OnRead(value, as_of);
+        }
+      });
+}
+
+void JournalShard::OnRead(const Result<std::optional<StoreValue>>& value,
+                          std::uint64_t as_of) {
+  is_busy_ = false;
+  if (!value) {
+    BackOff();
+  } else if (!*value) {
+    TakeState(ShardState{}, StoreVersion(0), as_of);
+  } else {
+    Result<ShardState> state = DecodeShard((*value)->value);
+    if (state) {
+      TakeState(std::move(*state), (*value)->version, as_of);
+    } else {
+      kLog.Error("{}: {}", shard_key_, state.error().detail);
+      BackOff();
+    }
+  }
+  Turn();
+}
+
+void JournalShard::TakeState(ShardState state,
+                             StoreVersion version,
+                             std::uint64_t as_of) {
+  has_state_ = true;
+  state_ = std::move(state);
+  version_ = version;
+  state_as_of_ = as_of;
+  if (doubtful_version_ && *doubtful_version_ == version) {
+    // The lost write may still be applied; only a write of ours ends that.
+    return;
+  }
+  doubtful_version_.reset();
+  failures_in_a_row_ = 0;
+  ClearWrittenMarks();
+}
+
+void JournalShard::ClearWrittenMarks() {
+  for (auto& [id, operation] : operations_) {
+    operation.may_be_written = false;
+  }
+}
+
+void JournalShard::Write(Plan& plan) {
+  is_busy_ = true;
+  if (plan.changing.empty()) {
+    ++plan.next.fence;
+    ++context_.counters.fencing_writes;
+  }
+  for (const std::uint64_t id : plan.changing) {
+    operations_.at(id).was_sent = true;
+    operations_.at(id).may_be_written = true;
+  }
+  written_state_ = std::move(plan.next);
+  written_expected_ = version_;
+  written_as_of_ = next_arrival_ - 1;
+  std::string value = EncodeShard(written_state_);
+  ++context_.counters.writes;
+  context_.counters.written_bytes += value.size();
+  const std::weak_ptr<bool> guard = is_alive_;
+  context_.store.CompareAndSwap(
+      shard_key_, written_expected_, std::move(value), LeaseId(0),
+      [this, guard](const Result<StoreVersion>& written) {
+        if (!guard.expired()) {
+          OnWritten(written);
+        }
+      });
+}
+
+void JournalShard::OnWritten(const Result<StoreVersion>& written) {
+  is_busy_ = false;
+  if (written) {
+    doubtful_version_.reset();
+    TakeState(std::move(written_state_), *written, written_as_of_);
+  } else {
+    OnWriteFailed(written.error());
+  }
+  Turn();
+}
+
+void JournalShard::OnWriteFailed(const Error& error) {
+  switch (error.code) {
+    case ErrorCode::kConflict:
+      ++context_.counters.conflicts;
+      has_state_ = false;
+      break;
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kRefused:
+    case ErrorCode::kOverloaded:
+      BackOff();
+      break;
+    default:
+      ++context_.counters.unknown_effects;
+      has_state_ = false;
+      doubtful_version_ = written_expected_;
+      BackOff();
+      return;
+  }
+  if (!doubtful_version_) {
+    ClearWrittenMarks();
+  }
+}
+
+void JournalShard::BackOff() {
+  const int doublings = std::min(failures_in_a_row_, kMaxBackoffDoublings);
+  ++failures_in_a_row_;
+  const Duration pause =
+      std::min(context_.limits.max_backoff,
+               context_.limits.min_backoff * (1 << doublings));
+  const double jitter = 0.5 + context_.random.Unit();
+  not_before_ = context_.clock.Now() +
+                std::chrono::duration_cast<Duration>(pause * jitter);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/idempotency/internal/journal_shard.h
@@ -0,0 +1,117 @@
+#ifndef KINGCUPDRIFT_IDEMPOTENCY_INTERNAL_JOURNAL_SHARD_H_
+#define KINGCUPDRIFT_IDEMPOTENCY_INTERNAL_JOURNAL_SHARD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/idempotency/internal/shard_operation.h"
+#include "kingcupdrift/idempotency/internal/shard_state.h"
+#include "kingcupdrift/idempotency/journal_types.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+
+namespace kingcupdrift {
+
+/// What all shards of one journal share.
+struct ShardContext {
+  Clock& clock;
+  Random& random;
+  PlatformStore& store;
+  const JournalLimits& limits;
+  JournalCounters& counters;
+};
+
+/// Turns the operations on one shard into reads and compare-and-swaps, one at a
+/// time, many operations to a write.
+class JournalShard {
+ public:
+  JournalShard(ShardContext context, std::string shard_key);
+  ~JournalShard();
+  JournalShard(const JournalShard&) = delete;
+  JournalShard& operator=(const JournalShard&) = delete;
+
+  /// Queues an operation. At `give_up` its caller is answered with what is then
+  /// known; the operation goes on in the background where that is needed.
+  void Add(ShardOperation operation, MonotonicTime give_up);
+  /// Takes a Begin back without an answer.
+  void CancelBegin(const Digest128& key, const Digest128& attempt);
+
+  bool is_idle() const { return operations_.empty() && !is_busy_; }
+  std::size_t pending() const { return operations_.size(); }
+
+ private:
+  using Answer = std::function<void()>;
+
+  /// What one pass over the operations found.
+  struct Plan {
+    ShardState next;
+    std::set<Digest128> changed_keys;
+    std::vector<std::uint64_t> changing;
+    std::vector<std::uint64_t> settled;
+    std::vector<Answer> answers;
+    bool is_due = false;
+    bool needs_fence = false;
+    bool needs_read = false;
+  };
+
+  void Turn();
+  void Schedule(MonotonicTime time);
+  MonotonicTime EarliestDue() const;
+  void DropOutdated();
+
+  Plan MakePlan();
+  void PlanOperation(std::uint64_t id, ShardOperation& operation, Plan& plan);
+  void PlanBegin(std::uint64_t id, ShardOperation& operation, Plan& plan);
+  void PlanWithdraw(std::uint64_t id, ShardOperation& operation, Plan& plan);
+  void PlanFinish(std::uint64_t id, ShardOperation& operation, Plan& plan);
+  void Execute(Plan plan);
+  static void Answering(const std::vector<Answer>& answers,
+                        const std::weak_ptr<bool>& guard);
+
+  void Read();
+  void OnRead(const Result<std::optional<StoreValue>>& value,
+              std::uint64_t as_of);
+  void TakeState(ShardState state, StoreVersion version, std::uint64_t as_of);
+  void Write(Plan& plan);
+  void OnWritten(const Result<StoreVersion>& written);
+  void OnWriteFailed(const Error& error);
+  void ClearWrittenMarks();
+  void BackOff();
+
+  void OnTimeout(std::uint64_t id);
+  void Withdraw(std::uint64_t id);
+
+  ShardContext context_;
+  std::string shard_key_;
+  std::map<std::uint64_t, ShardOperation> operations_;
+  std::uint64_t next_arrival_ = 1;
+
+  bool has_state_ = false;
+  ShardState state_;
+  StoreVersion version_;
+  // Operations that arrived up to here were there when the state was read.
+  std::uint64_t state_as_of_ = 0;
+
+  bool is_busy_ = false;
+  ShardState written_state_;
+  StoreVersion written_expected_;
+  std::uint64_t written_as_of_ = 0;
+  // Version at which a write of unknown effect may still be applied.
+  std::optional<StoreVersion> doubtful_version_;
+
+  int failures_in_a_row_ = 0;
+  MonotonicTime not_before_{};
+  std::unique_ptr<Timer> turn_timer_;
+  // Checked by callbacks, which may come after destruction.
+  std::shared_ptr<bool> is_alive_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_IDEMPOTENCY_INTERNAL_JOURNAL_SHARD_H_
--- a/src/kingcupdrift/idempotency/journal.h
+++ b/src/kingcupdrift/idempotency/journal.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "kingcupdrift/base/base.h"
@@ -13,6 +15,7 @@
 namespace kingcupdrift {
 
 class JournalShard;
+enum class EntryState;
 
 /// Journal of non-idempotent requests, kept in the platform's store.
 ///
@@ -35,14 +38,13 @@
   Journal(Clock& clock,
           Random& random,
           PlatformStore& store,
-          InstanceId self,
           JournalLimits limits = {});
   ~Journal();
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
   /// Writes the intent, or tells why not.
-  void Begin(BeginRequest request, BeginCallback callback);
+  void Begin(const BeginRequest& request, BeginCallback callback);
 
   /// Drops a Begin whose callback has not come, as when the caller went away.
   /// The callback does not run. An intent that may have been written becomes a
@@ -72,7 +74,8 @@
 
   /// Deletes shards past `retention` and `clock_margin` whose keys
   /// `is_responsible` accepts. Call about once a bucket; deleting twice is
-  /// harmless.
+  /// harmless. Give it to few entries: each shard swept costs a read and a
+  /// write.
   void SweepExpired(
       const std::function<bool(const std::string& shard_key)>& is_responsible);
 
@@ -81,19 +84,35 @@
   const JournalCounters& counters() const { return counters_; }
 
  private:
+  std::int64_t BucketOf(WallTime time) const;
+  std::string ShardKey(std::int64_t bucket, std::uint32_t shard) const;
   JournalShard& ShardFor(const IdempotencyKey& key);
+  std::optional<BeginStatus> RefuseEarly(const BeginRequest& request) const;
+  void RefuseLater(const AttemptId& attempt,
+                   BeginStatus status,
+                   BeginCallback callback);
+  void Finish(const IdempotencyKey& key,
+              const AttemptId& attempt,
+              EntryState target,
+              StoredResult result,
+              MonotonicTime give_up,
+              DoneCallback callback);
   void DropIdleShards();
+  void FindExpired(
+      const std::function<bool(const std::string& shard_key)>& is_responsible);
   void SweepShard(const std::string& shard_key);
 
   Clock& clock_;
   Random& random_;
   PlatformStore& store_;
-  InstanceId self_;
   JournalLimits limits_;
   JournalCounters counters_;
-  std::int64_t next_swept_bucket_ = -1;
   std::map<std::string, std::unique_ptr<JournalShard>> shards_;
-  // Outlived by callbacks of the store, which check it.
+  // Answers known at once, which wait for the next turn of the loop.
+  std::map<AttemptId, std::unique_ptr<Timer>> refused_;
+  std::int64_t next_swept_bucket_ = 0;
+  std::set<std::string> unswept_;
+  // Checked by callbacks of the store, which may come after destruction.
   std::shared_ptr<bool> is_alive_;
 };
 
--- a/src/kingcupdrift/idempotency/journal_types.h
+++ b/src/kingcupdrift/idempotency/journal_types.h
@@ -100,7 +100,7 @@
   /// Results and tombstones wait this long, or join an earlier write.
   Duration result_batch_wait = std::chrono::milliseconds(250);
   Duration min_backoff = std::chrono::milliseconds(50);
-  Duration max_backoff = std::chrono::seconds(5);
+  Duration max_backoff = std::chrono::seconds(1);
   /// Size of one shard's value; below the store's limit of 1 MB.
   std::size_t max_shard_bytes = 900'000;
   std::size_t max_kept_result = 2'048;
@@ -108,6 +108,11 @@
   std::size_t max_pending = 10'000;
   /// Shards whose last value is kept in memory when idle.
   std::size_t max_cached_shards = 32;
+  /// How far back of the oldest kept bucket a started entry sweeps.
+  Duration sweep_lookback = std::chrono::hours(1);
+  /// Expired shards that wait to be deleted, and calls of one sweep.
+  std::size_t max_unswept = 10'000;
+  std::size_t max_sweep_calls = 64;
 };
 
 /// Running totals since start.
