--- a/src/kingcupdrift/idempotency/journal.cc
+++ b/src/kingcupdrift/idempotency/journal.cc
@@ -56,7 +56,7 @@
   return std::nullopt;
 }
 
-void Journal::RefuseLater(const AttemptId& attempt,
+void Journal::RefuseLater(AttemptId attempt,
                           BeginStatus status,
                           BeginCallback callback) {
   auto answer = [this, attempt, status, callback = std::move(callback)] {
@@ -65,12 +65,13 @@
     refused_.erase(attempt);
     kept_callback(BeginResult{status, std::nullopt});
   };
-  refused_[attempt] = clock_.RunAfter(Duration::zero(), std::move(answer));
+  std::unique_ptr<Timer>& slot = refused_[std::move(attempt)];
+  slot = clock_.RunAfter(Duration::zero(), std::move(answer));
 }
 
-void Journal::Begin(const BeginRequest& request, BeginCallback callback) {
+void Journal::Begin(BeginRequest request, BeginCallback callback) {
   if (const auto status = RefuseEarly(request)) {
-    RefuseLater(request.attempt, *status, std::move(callback));
+    RefuseLater(std::move(request.attempt), *status, std::move(callback));
     return;
   }
   ++counters_.intents;
--- a/src/kingcupdrift/idempotency/journal.h
+++ b/src/kingcupdrift/idempotency/journal.h
@@ -44,7 +44,7 @@
   Journal& operator=(const Journal&) = delete;
 
   /// Writes the intent, or tells why not.
-  void Begin(const BeginRequest& request, BeginCallback callback);
+  void Begin(BeginRequest request, BeginCallback callback);
 
   /// Drops a Begin whose callback has not come, as when the caller went away.
   /// The callback does not run. An intent that may have been written becomes a
@@ -88,7 +88,7 @@
   std::string ShardKey(std::int64_t bucket, std::uint32_t shard) const;
   JournalShard& ShardFor(const IdempotencyKey& key);
   std::optional<BeginStatus> RefuseEarly(const BeginRequest& request) const;
-  void RefuseLater(const AttemptId& attempt,
+  void RefuseLater(AttemptId attempt,
                    BeginStatus status,
                    BeginCallback callback);
   void Finish(const IdempotencyKey& key,
