Speak to the store, the instance list, engines and services

A store call is typed by what may have happened: a write that was sent and got no readable answer is kUnknownEffect, gateway errors included. Streams to engines always use a new connection: one round trip against an idle connection that may be silent. docs/API.md fixes the wire format for the stand-ins.

--- a/src/kingcupdrift/net/engine_http_client.h
+++ b/src/kingcupdrift/net/engine_http_client.h
@@ -19,6 +19,7 @@
 /// described in docs/API.md.
 std::unique_ptr<EngineClient> CreateEngineHttpClient(
     HttpClient& http,
+    Clock& clock,
     const EngineClientSettings& settings);
 
 /// Plain services over HTTP.
--- /dev/null
+++ b/src/kingcupdrift/net/instance_list_client.cc
@@ -0,0 +1,112 @@
+#include "kingcupdrift/net/instance_list_client.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "kingcupdrift/net/internal/json_fields.h"
+
+namespace kingcupdrift {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kSlicesTarget[] =
+    "/apis/discovery.k8s.io/v1/namespaces/default/endpointslices";
+constexpr int kStatusOk = 200;
+constexpr std::int64_t kMaxPort = 65535;
+
+std::optional<std::uint16_t> ReadPort(const json& slice) {
+  for (const json& it : ListField(slice, "ports")) {
+    const std::int64_t port = IntegerField(it, "port");
+    if (port > 0 && port <= kMaxPort) {
+      return static_cast<std::uint16_t>(port);
+    }
+  }
+  return std::nullopt;
+}
+
+// An absent condition means serving and not terminating.
+bool IsLeaving(const json& row) {
+  const json& conditions = ObjectField(row, "conditions");
+  const bool is_serving =
+      !conditions.contains("serving") || FlagField(conditions, "serving");
+  return FlagField(conditions, "terminating") || !is_serving;
+}
+
+std::optional<ListedInstance> ReadRow(const json& row, std::uint16_t port) {
+  const json& addresses = ListField(row, "addresses");
+  ListedInstance out;
+  out.id = InstanceId(TextField(ObjectField(row, "targetRef"), "name"));
+  if (out.id.empty() || addresses.empty() || !addresses.front().is_string()) {
+    return std::nullopt;
+  }
+  out.peer_endpoint = {addresses.front().get<std::string>(), port};
+  if (!ParseEndpoint(ToString(out.peer_endpoint))) {
+    return std::nullopt;
+  }
+  out.failure_domain = FailureDomain(TextField(row, "zone"));
+  out.is_leaving = IsLeaving(row);
+  return out;
+}
+
+// Rows that are not well-formed are passed over, so that one of them does not
+// hide the others.
+Result<std::vector<ListedInstance>> ReadSlices(const json& list) {
+  if (!list.is_object() || !list.contains("items")) {
+    return MakeError(ErrorCode::kProtocol, "no list of EndpointSlices");
+  }
+  std::vector<ListedInstance> instances;
+  for (const json& slice : ListField(list, "items")) {
+    const auto port = ReadPort(slice);
+    if (!port) {
+      continue;
+    }
+    for (const json& row : ListField(slice, "endpoints")) {
+      if (auto instance = ReadRow(row, *port)) {
+        instances.push_back(*std::move(instance));
+      }
+    }
+  }
+  return instances;
+}
+
+class EndpointSliceInstanceList : public InstanceList {
+ public:
+  EndpointSliceInstanceList(HttpClient& http, const Endpoint& endpoint)
+      : http_(http), endpoint_(endpoint) {}
+
+  void Fetch(Callback callback) override {
+    HttpRequest request;
+    request.server = endpoint_;
+    request.target = kSlicesTarget;
+    auto finish = [callback =
+                       std::move(callback)](Result<HttpResponse> response) {
+      if (!response) {
+        callback(tl::unexpected(response.error()));
+        return;
+      }
+      if (response->status != kStatusOk) {
+        callback(MakeError(ErrorCode::kRefused,
+                           "the list answered with another status than 200"));
+        return;
+      }
+      callback(ReadSlices(ParseJson(*response->body)));
+    };
+    http_.Send(std::move(request), std::move(finish));
+  }
+
+ private:
+  HttpClient& http_;
+  Endpoint endpoint_;
+};
+
+}  // namespace
+
+std::unique_ptr<InstanceList> CreateEndpointSliceInstanceList(
+    HttpClient& http,
+    const Endpoint& endpoint) {
+  return std::make_unique<EndpointSliceInstanceList>(http, endpoint);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/internal/engine_protocol.cc
@@ -0,0 +1,248 @@
+#include "kingcupdrift/net/internal/engine_protocol.h"
+
+#include <event2/http.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <utility>
+
+#include "kingcupdrift/net/internal/json_fields.h"
+
+namespace kingcupdrift {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusPreconditionFailed = 412;
+constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusInternal = 500;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusInsufficientStorage = 507;
+
+std::string Milliseconds(Duration time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+Duration MillisecondsField(const json& object, const char* key) {
+  return milliseconds(IntegerField(object, key));
+}
+
+std::string GroupText(const std::vector<EngineAddress>& group) {
+  std::string out;
+  for (const EngineAddress& it : group) {
+    out += out.empty() ? "" : ",";
+    out += it.id.value() + "=" + ToString(it.endpoint);
+  }
+  return out;
+}
+
+HoldingKind ToHoldingKind(const std::string& name) {
+  if (name == "stream") {
+    return HoldingKind::kStream;
+  }
+  return name == "import" ? HoldingKind::kImport : HoldingKind::kReservation;
+}
+
+const char* RoleName(EngineRole role) {
+  switch (role) {
+    case EngineRole::kPrefill:
+      return "prefill";
+    case EngineRole::kDecode:
+      return "decode";
+    case EngineRole::kGeneral:
+      break;
+  }
+  return "general";
+}
+
+tl::unexpected<Error> BadAnswer(const char* what) {
+  return MakeError(ErrorCode::kProtocol,
+                   std::string("the engine's ") + what + " is not valid");
+}
+
+std::string ChoiceText(const json& choice) {
+  const json& delta = ObjectField(choice, "delta");
+  return delta.empty() ? TextField(choice, "text")
+                       : TextField(delta, "content");
+}
+
+}  // namespace
+
+Result<EngineEvent> ReadEngineEvent(std::string_view data) {
+  const json body = ParseJson(data);
+  if (!body.is_object()) {
+    return BadAnswer("event");
+  }
+  EngineEvent event;
+  if (body.contains("cached_tokens")) {
+    event.cached_tokens = TokenCount(IntegerField(body, "cached_tokens"));
+  }
+  event.chunk.offset = UnsignedField(body, "offset");
+  event.chunk.token_count =
+      static_cast<std::uint32_t>(UnsignedField(body, "token_count"));
+  const json& choices = ListField(body, "choices");
+  if (choices.empty()) {
+    return event;
+  }
+  event.chunk.text = ChoiceText(choices.front());
+  const std::string reason = TextField(choices.front(), "finish_reason");
+  if (!reason.empty()) {
+    event.finish_reason =
+        reason == "length" ? FinishReason::kLength : FinishReason::kStop;
+    event.total_tokens = UnsignedField(body, "total_tokens");
+  }
+  return event;
+}
+
+HeaderList MakeStartHeaders(const EngineStreamRequest& request) {
+  HeaderList headers = {{"Content-Type", "application/json"},
+                        {"Accept", "text/event-stream"},
+                        {"X-Request-Id", request.request.value()},
+                        {"X-Attempt-Id", request.attempt.value()},
+                        {"X-Priority", std::to_string(request.priority)},
+                        {"X-Time-Left-Ms", Milliseconds(request.time_left)},
+                        {"X-Max-Output-Tokens",
+                         std::to_string(request.max_output_tokens.value())}};
+  if (!request.reservation.empty()) {
+    headers.emplace_back("X-Reservation-Id", request.reservation.value());
+  }
+  if (!request.group.empty()) {
+    headers.emplace_back("X-Engine-Group", GroupText(request.group));
+  }
+  return headers;
+}
+
+HeaderList MakeImportHeaders(const ReservationRequest& holding) {
+  return {{"Content-Type", "application/octet-stream"},
+          {"X-Holding-Id", holding.id.value()},
+          {"X-Owner", holding.owner.value()},
+          {"X-Attempt-Id", holding.attempt.value()},
+          {"X-Tokens", std::to_string(holding.tokens.value())},
+          {"X-Time-To-Live-Ms", Milliseconds(holding.time_to_live)}};
+}
+
+json MakeReservationBody(const ReservationRequest& request) {
+  const auto time_to_live =
+      std::chrono::duration_cast<milliseconds>(request.time_to_live);
+  return {{"owner", request.owner.value()},
+          {"attempt", request.attempt.value()},
+          {"tokens", request.tokens.value()},
+          {"time_to_live_ms", time_to_live.count()}};
+}
+
+json MakeOrderBody(const PlacementOrder& order) {
+  return {{"model", order.model},
+          {"adapter", order.adapter},
+          {"version", order.version},
+          {"role", RoleName(order.role)}};
+}
+
+json MakeExportBody(const std::vector<std::uint64_t>& digests) {
+  json blocks = json::array();
+  for (const std::uint64_t it : digests) {
+    blocks.push_back(std::to_string(it));
+  }
+  json body = json::object();
+  body["blocks"] = std::move(blocks);
+  return body;
+}
+
+Result<EngineReport> ReadReport(const json& answer) {
+  if (!answer.is_object()) {
+    return BadAnswer("load report");
+  }
+  EngineReport report;
+  report.sequence = UnsignedField(answer, "sequence");
+  report.age = MillisecondsField(answer, "age_ms");
+  report.waiting_prefill_tokens =
+      TokenCount(IntegerField(answer, "waiting_prefill_tokens"));
+  report.running_streams =
+      static_cast<std::uint32_t>(UnsignedField(answer, "running_streams"));
+  report.waiting_requests =
+      static_cast<std::uint32_t>(UnsignedField(answer, "waiting_requests"));
+  report.free_memory = TokenCount(IntegerField(answer, "free_memory"));
+  report.total_memory = TokenCount(IntegerField(answer, "total_memory"));
+  report.prefill_rate = RealField(answer, "prefill_rate");
+  report.decode_rate = RealField(answer, "decode_rate");
+  for (const json& it : ListField(answer, "counted_attempts")) {
+    if (it.is_string()) {
+      report.counted_attempts.emplace_back(it.get<std::string>());
+    }
+  }
+  return report;
+}
+
+Result<std::vector<EngineHolding>> ReadHoldings(const json& answer) {
+  if (!answer.is_object()) {
+    return BadAnswer("list of holdings");
+  }
+  std::vector<EngineHolding> holdings;
+  for (const json& it : ListField(answer, "holdings")) {
+    EngineHolding holding;
+    holding.kind = ToHoldingKind(TextField(it, "kind"));
+    holding.id = TextField(it, "id");
+    holding.owner = InstanceId(TextField(it, "owner"));
+    holding.attempt = AttemptId(TextField(it, "attempt"));
+    holding.tokens = TokenCount(IntegerField(it, "tokens"));
+    holding.time_left = MillisecondsField(it, "time_left_ms");
+    holdings.push_back(std::move(holding));
+  }
+  return holdings;
+}
+
+Result<CacheEventBatch> ReadCacheEvents(const json& answer) {
+  if (!answer.is_object()) {
+    return BadAnswer("list of cache events");
+  }
+  CacheEventBatch batch;
+  for (const json& it : ListField(answer, "events")) {
+    batch.events.push_back({UnsignedField(it, "sequence"),
+                            FlagField(it, "cached"),
+                            UnsignedField(it, "block")});
+  }
+  batch.last_sequence = UnsignedField(answer, "last_sequence");
+  batch.has_gap = FlagField(answer, "gap");
+  return batch;
+}
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+Error EngineStatusError(int status) {
+  const std::string detail =
+      "the engine answered with status " + std::to_string(status);
+  switch (status) {
+    case kStatusNotFound:
+      return {ErrorCode::kNotFound, detail};
+    case kStatusPreconditionFailed:
+      return {ErrorCode::kFenced, detail};
+    case kStatusTooManyRequests:
+    case kStatusUnavailable:
+    case kStatusInsufficientStorage:
+      return {ErrorCode::kOverloaded, detail};
+    default:
+      break;
+  }
+  const bool is_refusal = status < kStatusInternal;
+  return {is_refusal ? ErrorCode::kRefused : ErrorCode::kInternal, detail};
+}
+
+Error EngineTransportError(Error error) {
+  if (error.code == ErrorCode::kUnknownEffect) {
+    error.code = ErrorCode::kConnectionLost;
+  }
+  return error;
+}
+
+std::string EncodePathSegment(const std::string& text) {
+  char* const encoded =
+      evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
+  std::string out(encoded);
+  std::free(encoded);
+  return out;
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/internal/json_fields.h
@@ -0,0 +1,33 @@
+#ifndef KINGCUPDRIFT_NET_INTERNAL_JSON_FIELDS_H_
+#define KINGCUPDRIFT_NET_INTERNAL_JSON_FIELDS_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift {
+
+/// Parses without exceptions; a discarded value on failure.
+nlohmann::json ParseJson(std::string_view text);
+/// Serializes; invalid UTF-8 becomes replacement marks.
+std::string ToJson(const nlohmann::json& value);
+
+/// A member's text; empty if it is absent or of another type.
+std::string TextField(const nlohmann::json& object, const char* key);
+/// A member's number, written as a number or as decimal text; 0 otherwise.
+std::int64_t IntegerField(const nlohmann::json& object, const char* key);
+std::uint64_t UnsignedField(const nlohmann::json& object, const char* key);
+double RealField(const nlohmann::json& object, const char* key);
+bool FlagField(const nlohmann::json& object, const char* key);
+/// A member that is a list; an empty list otherwise.
+const nlohmann::json& ListField(const nlohmann::json& object, const char* key);
+/// A member that is an object; an empty object otherwise.
+const nlohmann::json& ObjectField(const nlohmann::json& object,
+                                  const char* key);
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_INTERNAL_JSON_FIELDS_H_
--- /dev/null
+++ b/src/kingcupdrift/net/internal/store_protocol.cc
@@ -0,0 +1,140 @@
+#include "kingcupdrift/net/internal/store_protocol.h"
+
+#include <utility>
+
+#include "kingcupdrift/api/api.h"
+#include "kingcupdrift/net/internal/json_fields.h"
+
+namespace kingcupdrift {
+namespace {
+
+using nlohmann::json;
+
+tl::unexpected<Error> BadAnswer() {
+  return MakeError(ErrorCode::kProtocol, "the store's answer is not valid");
+}
+
+std::string Decimal(std::int64_t number) {
+  return std::to_string(number);
+}
+
+json MakeCondition(const std::string& key, StoreVersion expected) {
+  return {{"key", EncodeStoreText(key)},
+          {"target", "MOD"},
+          {"result", "EQUAL"},
+          {"mod_revision", Decimal(expected.value())}};
+}
+
+json MakeTransaction(const std::string& key,
+                     StoreVersion expected,
+                     json operation) {
+  json request = json::object();
+  request["compare"] = json::array({MakeCondition(key, expected)});
+  request["success"] = json::array({std::move(operation)});
+  request["failure"] = json::array();
+  return request;
+}
+
+}  // namespace
+
+std::string EncodeStoreText(const std::string& bytes) {
+  return EncodeBase64(bytes, Base64Variant::kStandard);
+}
+
+std::optional<std::string> DecodeStoreText(const json& object,
+                                           const char* key) {
+  return DecodeBase64(TextField(object, key), Base64Variant::kStandard);
+}
+
+std::string PrefixEnd(std::string prefix) {
+  while (!prefix.empty()) {
+    const auto last = static_cast<unsigned char>(prefix.back());
+    if (last < 0xff) {
+      prefix.back() = static_cast<char>(last + 1);
+      return prefix;
+    }
+    prefix.pop_back();
+  }
+  // A single zero byte stands for "no end".
+  return {'\0'};
+}
+
+json MakeRangeRequest(const std::string& key) {
+  return {{"key", EncodeStoreText(key)}};
+}
+
+json MakePrefixRequest(const std::string& prefix) {
+  return {{"key", EncodeStoreText(prefix)},
+          {"range_end", EncodeStoreText(PrefixEnd(prefix))}};
+}
+
+json MakeSwapRequest(const std::string& key,
+                     StoreVersion expected,
+                     const std::string& value,
+                     LeaseId lease) {
+  json put = {{"key", EncodeStoreText(key)}, {"value", EncodeStoreText(value)}};
+  if (lease.value() != 0) {
+    put["lease"] = Decimal(lease.value());
+  }
+  return MakeTransaction(key, expected, {{"requestPut", std::move(put)}});
+}
+
+json MakeDeleteRequest(const std::string& key, StoreVersion expected) {
+  return MakeTransaction(
+      key, expected, {{"requestDeleteRange", {{"key", EncodeStoreText(key)}}}});
+}
+
+json MakeWatchRequest(const std::string& prefix, StoreVersion first) {
+  json create = MakePrefixRequest(prefix);
+  create["start_revision"] = Decimal(first.value());
+  return {{"create_request", std::move(create)}};
+}
+
+Result<std::vector<StoreEntry>> ReadRangeAnswer(const json& answer) {
+  if (!answer.is_object()) {
+    return BadAnswer();
+  }
+  std::vector<StoreEntry> entries;
+  for (const json& it : ListField(answer, "kvs")) {
+    auto key = DecodeStoreText(it, "key");
+    auto value = DecodeStoreText(it, "value");
+    const StoreVersion version(IntegerField(it, "mod_revision"));
+    if (!key || !value || version.value() <= 0) {
+      return BadAnswer();
+    }
+    entries.push_back({*std::move(key), {*std::move(value), version}});
+  }
+  return entries;
+}
+
+Result<StoreVersion> ReadTransactionAnswer(const json& answer) {
+  const StoreVersion revision(
+      IntegerField(ObjectField(answer, "header"), "revision"));
+  if (revision.value() <= 0) {
+    return BadAnswer();
+  }
+  // The gateway leaves out members that are false.
+  if (!FlagField(answer, "succeeded")) {
+    return MakeError(ErrorCode::kConflict, "the key has another version");
+  }
+  return revision;
+}
+
+Result<StoreEvent> ReadWatchEvent(const json& event) {
+  const json& pair = ObjectField(event, "kv");
+  auto key = DecodeStoreText(pair, "key");
+  auto value = DecodeStoreText(pair, "value");
+  const StoreVersion version(IntegerField(pair, "mod_revision"));
+  if (!key || key->empty() || !value || version.value() <= 0) {
+    return BadAnswer();
+  }
+  StoreEvent out;
+  out.key = *std::move(key);
+  out.version = version;
+  if (TextField(event, "type") != "DELETE") {
+    out.value = StoreValue{*std::move(value), version};
+  }
+  return out;
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/net/service_http_client.cc
@@ -0,0 +1,114 @@
+#include <string>
+#include <utility>
+
+#include "kingcupdrift/net/engine_http_client.h"
+
+namespace kingcupdrift {
+namespace {
+
+// Headers that belong to one connection, or that the client sets itself.
+bool IsHopByHop(const std::string& name) {
+  static constexpr std::string_view kNames[] = {"Connection",
+                                                "Keep-Alive",
+                                                "Proxy-Authenticate",
+                                                "Proxy-Authorization",
+                                                "TE",
+                                                "Trailer",
+                                                "Transfer-Encoding",
+                                                "Upgrade",
+                                                "Host",
+                                                "Content-Length",
+                                                "Expect",
+                                                "Authorization",
+                                                "X-Request-Id",
+                                                "X-Attempt-Id",
+                                                "Idempotency-Key",
+                                                "Request-Timeout",
+                                                "X-Time-Left-Ms"};
+  const HeaderList single = {{name, "x"}};
+  for (const std::string_view it : kNames) {
+    if (!FindHeader(single, it).empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+HeaderList MakeServiceHeaders(const ServiceRequest& request) {
+  HeaderList headers;
+  for (const auto& header : request.headers) {
+    if (!IsHopByHop(header.first)) {
+      headers.push_back(header);
+    }
+  }
+  headers.emplace_back("X-Request-Id", request.request.value());
+  headers.emplace_back("X-Attempt-Id", request.attempt.value());
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(request.time_left);
+  headers.emplace_back("X-Time-Left-Ms", std::to_string(left.count()));
+  if (!request.idempotency_key.empty()) {
+    headers.emplace_back("Idempotency-Key", request.idempotency_key);
+  }
+  return headers;
+}
+
+// After the request was sent, a missing answer tells nothing of its effect.
+Error ToServiceError(Error error) {
+  if (error.code != ErrorCode::kUnavailable) {
+    error.code = ErrorCode::kUnknownEffect;
+  }
+  return error;
+}
+
+class HttpServiceCall : public ServiceCall {
+ public:
+  explicit HttpServiceCall(std::unique_ptr<HttpCall> call)
+      : call_(std::move(call)) {}
+
+ private:
+  std::unique_ptr<HttpCall> call_;
+};
+
+class ServiceHttpClient : public ServiceClient {
+ public:
+  explicit ServiceHttpClient(HttpClient& http) : http_(http) {}
+
+  std::unique_ptr<ServiceCall> Call(const EngineAddress& target,
+                                    const ServiceRequest& request,
+                                    Callback callback) override {
+    HttpRequest out;
+    out.server = target.endpoint;
+    out.method = request.method;
+    out.target = request.target;
+    out.headers = MakeServiceHeaders(request);
+    if (request.body) {
+      out.body = {{request.body, std::string_view(*request.body)}};
+    }
+    out.needs_new_connection = request.needs_new_connection;
+    out.time_limit = request.time_left;
+    return std::make_unique<HttpServiceCall>(http_.Fetch(
+        std::move(out),
+        [callback = std::move(callback)](Result<HttpResponse> response) {
+          if (!response) {
+            callback(tl::unexpected(ToServiceError(response.error())));
+            return;
+          }
+          ServiceResponse answer;
+          answer.status = response->status;
+          answer.headers = std::move(response->headers);
+          answer.body = std::move(response->body);
+          callback(std::move(answer));
+        }));
+  }
+
+ private:
+  HttpClient& http_;
+};
+
+}  // namespace
+
+std::unique_ptr<ServiceClient> CreateServiceHttpClient(HttpClient& http) {
+  return std::make_unique<ServiceHttpClient>(http);
+}
+
+}  // namespace kingcupdrift
