--- a/src/kingcupdrift/entry/entry.h
+++ b/src/kingcupdrift/entry/entry.h
@@ -58,7 +58,7 @@
   /// serves CallerGone.
   RequestId Complete(CompletionCall call, std::unique_ptr<CallerSink> sink);
   RequestId CallService(PlainCall call, std::unique_ptr<CallerSink> sink);
-  RequestId Resume(ResumeCall call, std::unique_ptr<CallerSink> sink);
+  RequestId Resume(const ResumeCall& call, std::unique_ptr<CallerSink> sink);
 
   /// The caller's connection closed. Its work is cancelled unless it is
   /// non-idempotent and already sent. The sink is destroyed.
