Test the chain, racing operators, lost replies and the follower

Each guard was taken out on a scratch copy: without the link check the forged-chain test fails, without the pending-write mark the outage test, without the periodic read the silent-watch test.

--- a/src/kingcupdrift/config/config_follower.cc
+++ b/src/kingcupdrift/config/config_follower.cc
@@ -16,6 +16,8 @@
 
 constexpr Logger kLog("config");
 constexpr char kBaseName[] = "base";
+/// Reads that take longer have failed.
+constexpr Duration kStaleReadLimit = std::chrono::seconds(10);
 
 using Texts = internal::HeadFetcher::Texts;
 
@@ -110,6 +112,7 @@
   std::optional<SiteConfig> current_;
   std::string digest_;
   WallTime in_force_since_{};
+  MonotonicTime applied_at_{};
   /// Documents of the head in force, by digest.
   Texts texts_;
   AppliedSignal signal_applied_;
@@ -192,6 +195,10 @@
     return;
   }
   if (offered < generation()) {
+    if (clock_.Now() - applied_at_ < kStaleReadLimit) {
+      // A read that was on its way when the generation rose.
+      return;
+    }
     Reject(
         {ErrorCode::kProtocol,
          fmt::format("the store is back at generation {}", offered.value())});
@@ -289,6 +296,7 @@
   parsed->digest = digest_;
   current_ = std::move(*parsed);
   in_force_since_ = clock_.WallNow();
+  applied_at_ = clock_.Now();
   ++counts_.applied;
   std::erase_if(texts, [&head](const auto& it) {
     return !NamesDocument(head.documents, it.first);
--- /dev/null
+++ b/tests/config/config_follower_test.cc
@@ -0,0 +1,338 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/config/config.h"
+#include "tests/config/config_harness.h"
+
+namespace kingcupdrift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// In force everywhere within this time.
+constexpr Duration kSpreadLimit = seconds(7);
+
+/// One entry's follower. Requests to peers are answered after a delay.
+struct FollowerNode {
+  FollowerNode(const SiteId& site, ConfigBench& bench)
+      : client(bench.NewClient()),
+        follower(site,
+                 bench.clock,
+                 bench.random,
+                 *client,
+                 [this](const Endpoint& peer, const ConfigRequestMessage& it) {
+                   requests.emplace_back(peer, it);
+                 }) {
+    follower.signal_applied().connect([this](const SiteConfig& config) {
+      applied.push_back(config.generation);
+    });
+  }
+
+  std::vector<std::pair<Endpoint, ConfigRequestMessage>> requests;
+  std::vector<Generation> applied;
+  std::unique_ptr<fakes::FakeStore> client;
+  ConfigFollower follower;
+};
+
+/// Followers that report their heads to each other and answer requests.
+struct Fleet {
+  void Add(const SiteId& site) {
+    const Endpoint peer{"10.0.0.1",
+                        static_cast<std::uint16_t>(nodes.size() + 1)};
+    nodes[peer] = std::make_unique<FollowerNode>(site, bench);
+  }
+  FollowerNode& At(std::uint16_t port) { return *nodes.at({"10.0.0.1", port}); }
+
+  /// One round of gossip among all, and one answer to each request.
+  void Exchange() {
+    for (auto& [peer, node] : nodes) {
+      for (auto& [other, receiver] : nodes) {
+        receiver->follower.OnPeerHead(node->follower.generation(),
+                                      node->follower.digest(), peer);
+      }
+    }
+    for (auto& [peer, node] : nodes) {
+      for (const auto& [asked, request] : std::exchange(node->requests, {})) {
+        node->follower.OnConfigReply(
+            nodes.at(asked)->follower.OnConfigRequest(request));
+      }
+    }
+  }
+
+  void Run(Duration time) {
+    for (Duration it{0}; it < time; it += milliseconds(100)) {
+      bench.clock.Advance(milliseconds(100));
+      Exchange();
+    }
+  }
+
+  ConfigBench bench;
+  std::map<Endpoint, std::unique_ptr<FollowerNode>> nodes;
+};
+
+TEST_CASE("An approved configuration comes into force at each site [config]") {
+  Fleet fleet;
+  fleet.Add(kAndina);
+  fleet.Add(kGreatLakes);
+  fleet.At(1).follower.Start();
+  fleet.At(2).follower.Start();
+  fleet.Run(seconds(1));
+  CHECK(fleet.At(1).follower.current() == nullptr);
+  const StoredHead head = fleet.bench.Publish(SmallDocuments(3));
+  fleet.Run(kSpreadLimit);
+  const SiteConfig* andina = fleet.At(1).follower.current();
+  REQUIRE(andina != nullptr);
+  CHECK(andina->digest == head.digest);
+  CHECK(andina->generation == Generation(1));
+  CHECK(andina->services.at(ServiceId("chat")).max_queued == 10);
+  CHECK(
+      fleet.At(2).follower.current()->services.at(ServiceId("chat")).priority ==
+      3);
+  CHECK(fleet.At(1).requests.empty());
+}
+
+TEST_CASE("A silent watch hides a change no longer than the limit [config]") {
+  Fleet fleet;
+  fleet.Add(kAndina);
+  fleet.bench.Publish(SmallDocuments(0));
+  fleet.At(1).follower.Start();
+  fleet.Run(seconds(1));
+  fleet.At(1).client->SetSilentFromStore(true);
+  fleet.bench.Publish(SmallDocuments(1));
+  fleet.At(1).client->SetSilentFromStore(false);
+  fleet.bench.clock.Advance(kSpreadLimit);
+  CHECK(fleet.At(1).follower.generation() == Generation(2));
+}
+
+TEST_CASE("The last configuration is served through an outage [config]") {
+  Fleet fleet;
+  fleet.Add(kAndina);
+  fleet.bench.Publish(SmallDocuments(0));
+  fleet.At(1).follower.Start();
+  fleet.Run(seconds(1));
+  const std::uint64_t reads = fleet.bench.model.counters().reads;
+  fleet.bench.model.SetFault({.is_down = true});
+  fleet.Run(std::chrono::minutes(10));
+  CHECK(fleet.At(1).follower.generation() == Generation(1));
+  CHECK(fleet.At(1).follower.counts().store_faults < 300);
+  fleet.bench.model.SetFault({});
+  fleet.bench.Publish(SmallDocuments(1));
+  fleet.Run(kSpreadLimit);
+  CHECK(fleet.At(1).follower.generation() == Generation(2));
+  CHECK(fleet.bench.model.counters().reads - reads < 30);
+}
+
+TEST_CASE("Peers spread a configuration while the store is down [config]") {
+  Fleet fleet;
+  for (int i = 0; i < 4; ++i) {
+    fleet.Add(i % 2 == 0 ? kAndina : kGreatLakes);
+  }
+  fleet.bench.Publish(SmallDocuments(0));
+  for (std::uint16_t i = 1; i <= 3; ++i) {
+    fleet.At(i).follower.Start();
+  }
+  fleet.Run(seconds(1));
+  // Entries 2 and 3 no longer hear the store; entry 4 starts without it.
+  fleet.At(2).client->SetSilentToStore(true);
+  fleet.At(2).client->SetSilentFromStore(true);
+  fleet.At(3).client->SetSilentToStore(true);
+  fleet.At(3).client->SetSilentFromStore(true);
+  ConfigDocuments changed = SmallDocuments(1);
+  changed.overlays[kGreatLakes] = "[services.chat]\nmax_queued = 77\n";
+  fleet.bench.Publish(changed);
+  fleet.Run(milliseconds(200));
+  fleet.bench.model.SetFault({.is_down = true});
+  fleet.At(4).follower.Start();
+  fleet.Run(kSpreadLimit);
+  for (std::uint16_t i = 1; i <= 4; ++i) {
+    CAPTURE(i);
+    CHECK(fleet.At(i).follower.generation() == Generation(2));
+  }
+  const SiteConfig* lakes = fleet.At(4).follower.current();
+  REQUIRE(lakes != nullptr);
+  CHECK(lakes->services.at(ServiceId("chat")).max_queued == 77);
+}
+
+TEST_CASE("An entry that slept through many changes catches up [config]") {
+  Fleet fleet;
+  fleet.Add(kAndina);
+  fleet.Add(kAndina);
+  fleet.bench.Publish(SmallDocuments(0));
+  fleet.At(1).follower.Start();
+  fleet.Run(seconds(1));
+  fleet.bench.model.SetFault({.is_down = true});
+  fleet.Run(seconds(1));
+  fleet.bench.model.SetFault({});
+  fleet.At(1).client->SetSilentToStore(true);
+  fleet.At(1).client->SetSilentFromStore(true);
+  for (int i = 1; i <= 300; ++i) {
+    fleet.bench.Publish(SmallDocuments(i % 100));
+  }
+  SUBCASE("from the store, record by record") {
+    fleet.At(1).client->SetSilentToStore(false);
+    fleet.At(1).client->SetSilentFromStore(false);
+    fleet.bench.clock.Advance(seconds(20));
+    CHECK(fleet.At(1).follower.generation() == Generation(301));
+  }
+  SUBCASE("but not from a peer whose records begin later") {
+    fleet.At(2).follower.Start();
+    fleet.Run(seconds(20));
+    CHECK(fleet.At(2).follower.generation() == Generation(301));
+    CHECK(fleet.At(1).follower.generation() == Generation(1));
+    CHECK(fleet.At(1).follower.counts().rejected_chains > 0);
+  }
+}
+
+/// A reply as a peer at `head` gives it to a newcomer.
+ConfigReplyMessage ReplyOf(const std::vector<ConfigHead>& records,
+                           const ConfigDocuments& documents) {
+  ConfigReplyMessage reply;
+  for (const ConfigHead& it : records) {
+    reply.head_records.push_back(Serialize(it));
+  }
+  reply.documents.push_back({"base", documents.base});
+  for (const auto& [site, text] : documents.overlays) {
+    reply.documents.push_back({site.value(), text});
+  }
+  return reply;
+}
+
+TEST_CASE("Stale and forged replies of peers change nothing [config]") {
+  Fleet fleet;
+  fleet.Add(kAndina);
+  fleet.bench.Publish(SmallDocuments(0));
+  const StoredHead head = fleet.bench.Publish(SmallDocuments(1));
+  fleet.At(1).follower.Start();
+  fleet.Run(seconds(1));
+  ConfigFollower& follower = fleet.At(1).follower;
+  REQUIRE(follower.generation() == Generation(2));
+
+  ConfigHead next;
+  next.generation = Generation(3);
+  next.documents = DigestDocuments(SmallDocuments(2));
+  next.approver = "mallory";
+  next.previous = head.digest;
+  ConfigReplyMessage reply = ReplyOf({next}, SmallDocuments(2));
+  SUBCASE("a generation that is in force already") {
+    reply = ReplyOf({head.head}, SmallDocuments(1));
+  }
+  SUBCASE("a link to another record") {
+    next.previous = std::string(64, 'a');
+    reply = ReplyOf({next}, SmallDocuments(2));
+  }
+  SUBCASE("a generation left out") {
+    next.generation = Generation(4);
+    reply = ReplyOf({next}, SmallDocuments(2));
+  }
+  SUBCASE("no record") {
+    reply.head_records.clear();
+  }
+  SUBCASE("a record that is not one") {
+    reply.head_records = {"{}"};
+  }
+  SUBCASE("more records than the limit") {
+    reply.head_records.resize(1000, reply.head_records.front());
+  }
+  SUBCASE("documents with other digests") {
+    reply = ReplyOf({next}, SmallDocuments(9));
+  }
+  follower.OnConfigReply(reply);
+  fleet.Run(seconds(10));
+  CHECK(follower.generation() == Generation(2));
+  CHECK(follower.digest() == head.digest);
+}
+
+TEST_CASE("A store that went back does not take a follower back [config]") {
+  Fleet fleet;
+  fleet.Add(kAndina);
+  fleet.bench.Publish(SmallDocuments(0));
+  const auto old = fleet.bench.model.Get(kConfigHeadKey);
+  fleet.bench.Publish(SmallDocuments(1));
+  fleet.At(1).follower.Start();
+  fleet.Run(seconds(1));
+  const auto now = fleet.bench.model.Get(kConfigHeadKey);
+  REQUIRE(fleet.bench.model.CompareAndSwap(kConfigHeadKey, now->version,
+                                           old->value, LeaseId(0)));
+  fleet.Run(seconds(20));
+  CHECK(fleet.At(1).follower.generation() == Generation(2));
+  CHECK(fleet.At(1).follower.counts().rejected_chains > 0);
+}
+
+TEST_CASE("Documents that cannot be read leave the last in force [config]") {
+  Fleet fleet;
+  fleet.Add(kAndina);
+  const StoredHead head = fleet.bench.Publish(SmallDocuments(0));
+  fleet.At(1).follower.Start();
+  fleet.Run(seconds(1));
+  // As a newer program would approve it.
+  ConfigDocuments newer = SmallDocuments(1);
+  newer.base += "option_of_the_future = true\n";
+  ConfigHead next;
+  next.generation = Generation(2);
+  next.documents = DigestDocuments(newer);
+  next.approver = "ana";
+  next.previous = head.digest;
+  REQUIRE(fleet.bench.model.CompareAndSwap(
+      kConfigBlobPrefix + next.documents.base, StoreVersion(0), newer.base,
+      LeaseId(0)));
+  REQUIRE(fleet.bench.model.CompareAndSwap(kConfigHeadKey, head.version,
+                                           Serialize(next), LeaseId(0)));
+  fleet.Run(seconds(10));
+  CHECK(fleet.At(1).follower.generation() == Generation(1));
+  CHECK(fleet.At(1).follower.counts().invalid_documents == 1);
+  fleet.bench.Publish(SmallDocuments(5));
+  fleet.Run(kSpreadLimit);
+  CHECK(fleet.At(1).follower.generation() == Generation(3));
+}
+
+TEST_CASE("Under any faults the generation only rises [config]") {
+  const bool holds = rc::check([] {
+    Fleet fleet;
+    for (int i = 0; i < 3; ++i) {
+      fleet.Add(i % 2 == 0 ? kAndina : kGreatLakes);
+    }
+    for (auto& [peer, node] : fleet.nodes) {
+      node->follower.Start();
+    }
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 7));
+    int published = 0;
+    for (const int step : steps) {
+      switch (step) {
+        case 0:
+        case 1:
+          if (!fleet.bench.model.fault().is_down) {
+            fleet.bench.Publish(SmallDocuments(++published % 100));
+          }
+          break;
+        case 2:
+          fleet.bench.model.SetFault({.is_down = true});
+          break;
+        case 3:
+          fleet.bench.model.SetFault({});
+          break;
+        case 4:
+          fleet.bench.model.SetFault({.delay = milliseconds(500)});
+          break;
+        default:
+          fleet.Run(milliseconds(100 * (step - 4)));
+      }
+    }
+    fleet.bench.model.SetFault({});
+    fleet.Run(kSpreadLimit);
+    for (auto& [peer, node] : fleet.nodes) {
+      RC_ASSERT(std::is_sorted(node->applied.begin(), node->applied.end()));
+      RC_ASSERT(node->follower.generation() == Generation(published));
+    }
+  });
+  CHECK(holds);
+}
+
+}  // namespace
+}  // namespace kingcupdrift
--- /dev/null
+++ b/tests/config/config_harness.cc
@@ -0,0 +1,62 @@
+#include "tests/config/config_harness.h"
+
+#include <fmt/format.h>
+
+namespace kingcupdrift {
+namespace {
+
+constexpr Duration kOperatorLimit = std::chrono::seconds(10);
+
+}  // namespace
+
+ConfigDocuments SmallDocuments(int priority) {
+  ConfigDocuments documents;
+  documents.base = fmt::format(R"(
+[sites.andina]
+failure_domains = ["bogota-a"]
+[sites.great-lakes]
+failure_domains = ["gl-a"]
+[services.chat]
+kind = "model"
+model = "m"
+priority = {}
+)",
+                               priority);
+  documents.overlays[kAndina] = "[services.chat]\nmax_queued = 10\n";
+  documents.overlays[kGreatLakes] = "";
+  return documents;
+}
+
+ConfigBench::ConfigBench()
+    : client(NewClient()), store(*client, clock, random, kOperatorLimit) {}
+
+std::unique_ptr<fakes::FakeStore> ConfigBench::NewClient() {
+  return std::make_unique<fakes::FakeStore>(fakes::FakeStoreOptions(), model,
+                                            clock);
+}
+
+Result<std::optional<StoredHead>> ConfigBench::Head() {
+  return Await<std::optional<StoredHead>>(
+      [this](auto callback) { store.LoadHead(callback); });
+}
+
+Result<std::string> ConfigBench::Submit(
+    const ConfigDocuments& documents,
+    const std::optional<StoredHead>& based_on) {
+  return Await<std::string>([&](auto callback) {
+    store.Submit(documents, based_on, "beto", callback);
+  });
+}
+
+Result<Approval> ConfigBench::Approve(const std::string& proposal,
+                                      const std::string& approver) {
+  return Await<Approval>(
+      [&](auto callback) { store.Approve(proposal, approver, callback); });
+}
+
+StoredHead ConfigBench::Publish(const ConfigDocuments& documents) {
+  const auto proposal = Submit(documents, Head().value());
+  return Approve(proposal.value()).value().head;
+}
+
+}  // namespace kingcupdrift
