--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -1,51 +1,87 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
 #include <fmt/format.h>
 
-#include <algorithm>
+#include <string>
 #include <vector>
 
-#include "tests/fakes/load_run.h"
+#include "bench/policy/measurement.h"
 
-int main(int argc, char** argv) {
-  using namespace kingcupdrift;
-  fakes::LoadRunOptions o;
-  const double capacity = fakes::MeasureEngineCapacity(o) * o.engines;
-  fmt::print("capacity {:.0f}\n", capacity);
-  double load = argc > 1 ? atof(argv[1]) : 0.8;
-  o.offered_rate = capacity * load;
-  o.seed = argc > 2 ? atoi(argv[2]) : 1;
-  struct P {
-    const char* n;
-    RoutingPolicyKind k;
-    bool f;
-    double w;
-  };
-  for (auto p : {P{"cost E", RoutingPolicyKind::kCost, false, 0.5},
-                 P{"cost B", RoutingPolicyKind::kCost, false, 2},
-                 P{"random", RoutingPolicyKind::kRandom, false, 1},
-                 P{"lif", RoutingPolicyKind::kLeastInFlight, false, 1},
-                 P{"lif+prio", RoutingPolicyKind::kLeastInFlight, true, 1},
-                 P{"split", RoutingPolicyKind::kSplit, false, 1}}) {
-    o.policy = p.k;
-    o.forces_length_priority = p.f;
-    o.inflicted_delay_weight = p.w;
-    auto r = fakes::RunLoad(o);
-    for (int b = 0; b < 4; ++b) {
-      auto& x = r.bands[b];
-      auto q = [](std::vector<double> v, double f) {
-        if (v.empty())
-          return 0.0;
-        std::sort(v.begin(), v.end());
-        return v[size_t(f * (v.size() - 1))];
-      };
-      fmt::print(
-          "{:10} {:8} n={:5} ttft {:6.2f} {:6.2f} {:6.2f} slow {:5.2f} {:5.2f} "
-          "{:5.2f} refused {:.3f} late {}\n",
-          p.n, fakes::LoadBandName(b), x.offered, q(x.first_token, .5),
-          q(x.first_token, .95), q(x.first_token, .99), q(x.slowdown, .5),
-          q(x.slowdown, .95), q(x.slowdown, .99),
-          x.refused / std::max<double>(1, x.offered), x.late);
+ABSL_FLAG(std::vector<std::string>,
+          loads,
+          std::vector<std::string>({"50", "80", "110"}),
+          "Offered loads, in percent of the capacity");
+ABSL_FLAG(std::string, policy, "", "Only policies whose name contains this");
+ABSL_FLAG(int, seeds, 5, "Seeds 1 to N for each cell");
+ABSL_FLAG(int, threads, 4, "Runs at the same time");
+
+namespace kingcupdrift {
+namespace {
+
+std::string Times(const Spread& spread) {
+  return fmt::format("{:.2f} [{:.2f} {:.2f}]", spread.median, spread.low,
+                     spread.high);
+}
+
+std::string Percent(const Spread& spread) {
+  return fmt::format("{:.1f}%", 100 * spread.median);
+}
+
+void PrintHeader() {
+  fmt::print(
+      "| load | policy | band | first token p50 s | p95 s | p99 s | "
+      "slowdown p95 | p95 / empty p95 | refused | late | goodput |\n"
+      "|---|---|---|---|---|---|---|---|---|---|---|\n");
+}
+
+void PrintCase(const std::string& load,
+               const PolicyCase& policy,
+               const CaseSummary& summary) {
+  for (std::size_t i = 0; i < fakes::kLoadBands; ++i) {
+    const BandSummary& band = summary.bands[i];
+    fmt::print("| {}% | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |\n",
+               load, policy.name, fakes::LoadBandName(i),
+               Times(band.first_token_p50), Times(band.first_token_p95),
+               Times(band.first_token_p99), Times(band.slowdown_p95),
+               Times(band.ratio_of_p95), Percent(band.refused_share),
+               Percent(band.late_share), i == 0 ? Times(summary.goodput) : "");
+  }
+  fmt::print("<!-- cached {}, late requests {} -->\n",
+             Percent(summary.cached_share), Times(summary.late_total));
+}
+
+void Run() {
+  std::vector<PolicyCase> cases;
+  for (const PolicyCase& policy : AllPolicyCases()) {
+    if (policy.name.find(absl::GetFlag(FLAGS_policy)) != std::string::npos) {
+      cases.push_back(policy);
+    }
+  }
+  const double capacity = FleetCapacity();
+  fmt::print(
+      "Capacity: {:.0f} prompt tokens a second; {} seeds; median [low "
+      "high].\n\n",
+      capacity, absl::GetFlag(FLAGS_seeds));
+  PrintHeader();
+  for (const std::string& load : absl::GetFlag(FLAGS_loads)) {
+    MeasurementOptions options;
+    options.load = std::stod(load) / 100;
+    options.seeds = absl::GetFlag(FLAGS_seeds);
+    options.threads = absl::GetFlag(FLAGS_threads);
+    const std::vector<CaseSummary> summaries =
+        Measure(cases, options, capacity);
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+      PrintCase(load, cases[i], summaries[i]);
     }
-    fmt::print("   goodput {:.3f} cached {:.3f} retries {}\n",
-               r.goodput / capacity, r.cached_share, r.retries);
   }
 }
+
+}  // namespace
+}  // namespace kingcupdrift
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("Measures routing policies over model engines.");
+  absl::ParseCommandLine(argc, argv);
+  kingcupdrift::Run();
+}
--- /dev/null
+++ b/bench/policy/measurement.cc
@@ -0,0 +1,151 @@
+#include "bench/policy/measurement.h"
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace kingcupdrift {
+namespace {
+
+using fakes::LoadBandResult;
+using fakes::LoadRunResult;
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end());
+  const double rank = share * static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(rank + 0.5)];
+}
+
+using RunResults = std::vector<LoadRunResult>;
+using RunValue = std::function<double(const LoadRunResult&)>;
+
+Spread Summarize(const RunResults& runs, const RunValue& value) {
+  std::vector<double> values;
+  for (const LoadRunResult& run : runs) {
+    values.push_back(value(run));
+  }
+  return {Percentile(values, 0), Percentile(values, 0.5),
+          Percentile(values, 1)};
+}
+
+double Share(std::uint64_t part, std::uint64_t whole) {
+  return whole == 0 ? 0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+double RatioOfP95(const LoadBandResult& band) {
+  std::vector<double> alone;
+  for (std::size_t i = 0; i < band.first_token.size(); ++i) {
+    alone.push_back(band.first_token[i] / band.slowdown[i]);
+  }
+  const double empty = Percentile(std::move(alone), 0.95);
+  return empty > 0 ? Percentile(band.first_token, 0.95) / empty : 0;
+}
+
+BandSummary SummarizeBand(const RunResults& runs, std::size_t i) {
+  const auto first_token = [&](double share) {
+    return Summarize(runs, [&](const LoadRunResult& run) {
+      return Percentile(run.bands[i].first_token, share);
+    });
+  };
+  BandSummary summary;
+  summary.first_token_p50 = first_token(0.50);
+  summary.first_token_p95 = first_token(0.95);
+  summary.first_token_p99 = first_token(0.99);
+  summary.slowdown_p95 = Summarize(runs, [&](const LoadRunResult& run) {
+    return Percentile(run.bands[i].slowdown, 0.95);
+  });
+  summary.ratio_of_p95 = Summarize(
+      runs, [&](const LoadRunResult& run) { return RatioOfP95(run.bands[i]); });
+  summary.refused_share = Summarize(runs, [&](const LoadRunResult& run) {
+    return Share(run.bands[i].refused, run.bands[i].offered);
+  });
+  summary.late_share = Summarize(runs, [&](const LoadRunResult& run) {
+    return Share(run.bands[i].late, run.bands[i].offered);
+  });
+  return summary;
+}
+
+CaseSummary SummarizeCase(const RunResults& runs, double capacity) {
+  CaseSummary summary;
+  for (std::size_t i = 0; i < fakes::kLoadBands; ++i) {
+    summary.bands[i] = SummarizeBand(runs, i);
+  }
+  summary.goodput = Summarize(
+      runs, [&](const LoadRunResult& run) { return run.goodput / capacity; });
+  summary.cached_share = Summarize(
+      runs, [](const LoadRunResult& run) { return run.cached_share; });
+  summary.late_total = Summarize(runs, [](const LoadRunResult& run) {
+    std::uint64_t late = 0;
+    for (const LoadBandResult& band : run.bands) {
+      late += band.late;
+    }
+    return static_cast<double>(late);
+  });
+  return summary;
+}
+
+fakes::LoadRunOptions RunOptions(const PolicyCase& policy,
+                                 double offered_rate,
+                                 int seed) {
+  fakes::LoadRunOptions options;
+  options.policy = policy.kind;
+  options.forces_length_priority = policy.forces_length_priority;
+  options.own_time_weight = policy.own_time_weight;
+  options.inflicted_delay_weight = policy.inflicted_delay_weight;
+  options.offered_rate = offered_rate;
+  options.seed = seed;
+  return options;
+}
+
+}  // namespace
+
+std::vector<PolicyCase> AllPolicyCases() {
+  return {
+      {"cost, Esmaltario", RoutingPolicyKind::kCost, false, 2, 1},
+      {"cost, Bedfinder", RoutingPolicyKind::kCost, false, 1, 2},
+      {"random", RoutingPolicyKind::kRandom},
+      {"least in flight", RoutingPolicyKind::kLeastInFlight},
+      {"split", RoutingPolicyKind::kSplit},
+      {"least in flight, priorities", RoutingPolicyKind::kLeastInFlight, true},
+  };
+}
+
+double FleetCapacity() {
+  fakes::LoadRunOptions options;
+  return fakes::MeasureEngineCapacity(options) * options.engines;
+}
+
+std::vector<CaseSummary> Measure(const std::vector<PolicyCase>& cases,
+                                 const MeasurementOptions& options,
+                                 double capacity) {
+  std::vector<RunResults> results(cases.size(), RunResults(options.seeds));
+  const std::size_t total = cases.size() * options.seeds;
+  std::atomic<std::size_t> next = 0;
+  const auto work = [&] {
+    for (std::size_t i = next++; i < total; i = next++) {
+      const std::size_t which = i / options.seeds;
+      const auto seed = static_cast<int>(i % options.seeds);
+      results[which][seed] = fakes::RunLoad(
+          RunOptions(cases[which], options.load * capacity, seed + 1));
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < options.threads; ++i) {
+    threads.emplace_back(work);
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::vector<CaseSummary> summaries;
+  for (const RunResults& runs : results) {
+    summaries.push_back(SummarizeCase(runs, capacity));
+  }
+  return summaries;
+}
+
+}  // namespace kingcupdrift
--- a/tests/fakes/load_entry.cc
+++ b/tests/fakes/load_entry.cc
@@ -265,12 +265,12 @@
     End(job);
     return;
   }
-  job.retry_timer = clock_.RunAfter(
-      RetryDelay(job.outcome.tries, random_), [this, id = job.id] {
-        Job& again = *jobs_.at(id);
-        Queue(again);
-        PumpSoon();
-      });
+  job.retry_timer = clock_.RunAfter(RetryDelay(job.outcome.tries, random_),
+                                    [this, id = job.id] {
+                                      Job& again = *jobs_.at(id);
+                                      Queue(again);
+                                      PumpSoon();
+                                    });
 }
 
 void LoadEntry::End(Job& job) {
