--- a/src/kingcupdrift/engines/group_reserver.h
+++ b/src/kingcupdrift/engines/group_reserver.h
@@ -51,8 +51,8 @@
   GroupReserver(const GroupReserver&) = delete;
   GroupReserver& operator=(const GroupReserver&) = delete;
 
-  /// Starts reserving. The identifier serves `Release` at any time, before the
-  /// callback too (then no callback comes).
+  /// Starts reserving on one or more distinct engines. The identifier serves
+  /// `Release` at any time, before the callback too (then no callback comes).
   ReservationId Acquire(const AttemptId& attempt,
                         std::vector<GroupMember> members,
                         MonotonicTime deadline,
--- /dev/null
+++ b/src/kingcupdrift/engines/internal/group.h
@@ -0,0 +1,75 @@
+#ifndef KINGCUPDRIFT_ENGINES_INTERNAL_GROUP_H_
+#define KINGCUPDRIFT_ENGINES_INTERNAL_GROUP_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "kingcupdrift/engines/group_reserver.h"
+
+namespace kingcupdrift {
+
+/// One group of reservations: being taken, held, or being given back.
+class GroupReserver::Group {
+ public:
+  struct Context {
+    Clock& clock;
+    EngineClient& engines;
+    const GroupReserverLimits& limits;
+  };
+
+  Group(Context context,
+        ReservationRequest request,
+        std::vector<GroupMember> members,
+        Callback callback,
+        LostCallback lost,
+        std::function<void()> on_finished);
+
+  void Start(MonotonicTime deadline);
+  /// Gives everything back; no callback follows but the final one.
+  void Release();
+
+ private:
+  enum class State { kTaking, kHeld, kReleasing };
+  using Handler = void (Group::*)(std::size_t index, const Result<void>&);
+
+  void TakeNext();
+  /// Reserves or renews one member.
+  void Ask(std::size_t index, Handler handler);
+  void OnTaken(std::size_t index, const Result<void>& taken);
+  void OnHeld();
+  void Fail(Error error);
+  void ScheduleRenewal();
+  void Renew();
+  void OnRenewed(std::size_t index, const Result<void>& renewed);
+  void Lose(Error error);
+  void StartReleasing();
+  void ReleaseMember(std::size_t index);
+  void OnReleased(std::size_t index, bool has_answered);
+  void FinishIfDone();
+
+  Context context_;
+  ReservationRequest request_;
+  std::vector<GroupMember> members_;
+  Callback callback_;
+  LostCallback lost_;
+  std::function<void()> on_finished_;
+  State state_ = State::kTaking;
+  // Members asked so far: they may hold memory.
+  std::size_t asked_ = 0;
+  std::size_t in_flight_ = 0;
+  std::size_t unreleased_ = 0;
+  // When each member's reservation ends unless renewed.
+  std::vector<MonotonicTime> valid_until_;
+  std::unique_ptr<Timer> deadline_timer_;
+  std::unique_ptr<Timer> renew_timer_;
+  std::map<std::size_t, std::unique_ptr<Timer>> release_timers_;
+  // Checked by callbacks of engines, which may come after destruction.
+  std::shared_ptr<bool> is_alive_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ENGINES_INTERNAL_GROUP_H_
--- /dev/null
+++ b/src/kingcupdrift/engines/lease_keeper.cc
@@ -0,0 +1,185 @@
+#include "kingcupdrift/engines/lease_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupdrift {
+
+LeaseKeeper::LeaseKeeper(Clock& clock,
+                         Random& random,
+                         PlatformStore& store,
+                         std::string key,
+                         InstanceId self,
+                         LeaseLimits limits)
+    : clock_(clock),
+      random_(random),
+      store_(store),
+      key_(std::move(key)),
+      self_(std::move(self)),
+      limits_(limits),
+      is_alive_(std::make_shared<bool>(true)) {}
+
+LeaseKeeper::~LeaseKeeper() = default;
+
+void LeaseKeeper::Start(ChangeCallback on_change) {
+  on_change_ = std::move(on_change);
+  Acquire();
+}
+
+void LeaseKeeper::Stop() {
+  const LeaseId lease = std::exchange(lease_, LeaseId(0));
+  LeaveHolding(State::kStopped);
+  if (lease != LeaseId(0)) {
+    store_.Revoke(lease, [](const Result<void>&) {});
+  }
+}
+
+bool LeaseKeeper::IsHeld() const {
+  const MonotonicTime now = clock_.Now();
+  return state_ == State::kHeld && now >= acts_from_ &&
+         now < valid_until_ - limits_.stop_margin;
+}
+
+FencingNumber LeaseKeeper::fence() const {
+  return IsHeld() ? fence_ : FencingNumber(0);
+}
+
+void LeaseKeeper::Acquire() {
+  if (!is_candidate_) {
+    RetryLater();
+    return;
+  }
+  state_ = State::kAcquiring;
+  ++epoch_;
+  // One read is cheaper for the store than a grant that is then given back.
+  store_.Get(key_, Guarded<std::optional<StoreValue>>(
+                       [this](const Result<std::optional<StoreValue>>& value) {
+                         if (value && !*value) {
+                           Grant();
+                         } else {
+                           RetryLater();
+                         }
+                       }));
+}
+
+void LeaseKeeper::Grant() {
+  const MonotonicTime sent_at = clock_.Now();
+  store_.GrantLease(limits_.time_to_live,
+                    Guarded<LeaseId>([this, sent_at](Result<LeaseId> lease) {
+                      if (lease) {
+                        lease_ = *lease;
+                        TakeKey(sent_at);
+                      } else {
+                        RetryLater();
+                      }
+                    }));
+}
+
+void LeaseKeeper::TakeKey(MonotonicTime sent_at) {
+  token_ = self_.value() + "/" + random_.Token();
+  store_.CompareAndSwap(
+      key_, StoreVersion(0), token_, lease_,
+      Guarded<StoreVersion>([this, sent_at](Result<StoreVersion> taken) {
+        if (taken) {
+          OnTaken(*taken, sent_at);
+        } else {
+          // A write of unknown effect cannot take effect once its lease ended.
+          GiveUpLease();
+        }
+      }));
+}
+
+void LeaseKeeper::OnTaken(StoreVersion version, MonotonicTime sent_at) {
+  state_ = State::kHeld;
+  fence_ = FencingNumber(version.value());
+  valid_until_ = sent_at + limits_.time_to_live;
+  // The holder before may have sent its last order just before its end.
+  acts_from_ = clock_.Now() + limits_.longest_delay;
+  start_timer_ = clock_.RunAfter(limits_.longest_delay, [this] { Notify(); });
+  ScheduleRenewal();
+  WatchExpiry();
+}
+
+void LeaseKeeper::ScheduleRenewal() {
+  renew_timer_ = clock_.RunAfter(limits_.renew_interval, [this] { Renew(); });
+}
+
+void LeaseKeeper::Renew() {
+  const MonotonicTime sent_at = clock_.Now();
+  store_.KeepAlive(lease_,
+                   Guarded<void>([this, sent_at](const Result<void>& renewed) {
+                     OnRenewed(renewed, sent_at);
+                   }));
+  ScheduleRenewal();
+}
+
+void LeaseKeeper::OnRenewed(const Result<void>& renewed,
+                            MonotonicTime sent_at) {
+  if (renewed) {
+    valid_until_ = std::max(valid_until_, sent_at + limits_.time_to_live);
+    WatchExpiry();
+  } else if (renewed.error().code == ErrorCode::kNotFound) {
+    GiveUpLease();
+  }
+}
+
+void LeaseKeeper::WatchExpiry() {
+  const MonotonicTime end = valid_until_ - limits_.stop_margin;
+  expiry_timer_ =
+      clock_.RunAfter(end - clock_.Now(), [this] { GiveUpLease(); });
+}
+
+void LeaseKeeper::GiveUpLease() {
+  const LeaseId lease = std::exchange(lease_, LeaseId(0));
+  // A reply lost here does no harm: the lease ends by itself.
+  store_.Revoke(lease, [](const Result<void>&) {});
+  LeaveHolding(State::kIdle);
+  RetryLater();
+}
+
+void LeaseKeeper::LeaveHolding(State state) {
+  state_ = state;
+  ++epoch_;
+  fence_ = FencingNumber(0);
+  renew_timer_.reset();
+  start_timer_.reset();
+  expiry_timer_.reset();
+  retry_timer_.reset();
+  Notify();
+}
+
+void LeaseKeeper::RetryLater() {
+  if (state_ == State::kStopped) {
+    return;
+  }
+  state_ = State::kIdle;
+  const double jitter = 0.5 + random_.Unit();
+  const auto wait =
+      std::chrono::duration_cast<Duration>(limits_.retry_interval * jitter);
+  retry_timer_ = clock_.RunAfter(wait, [this] { Acquire(); });
+}
+
+void LeaseKeeper::Notify() {
+  const bool is_held = IsHeld();
+  if (is_held == was_reported_) {
+    return;
+  }
+  was_reported_ = is_held;
+  if (on_change_) {
+    on_change_(is_held);
+  }
+}
+
+template <typename T>
+std::function<void(Result<T>)> LeaseKeeper::Guarded(
+    std::function<void(Result<T>)> callback) {
+  const std::weak_ptr<bool> guard = is_alive_;
+  const std::uint64_t epoch = epoch_;
+  return [this, guard, epoch, callback = std::move(callback)](Result<T> value) {
+    if (!guard.expired() && epoch == epoch_) {
+      callback(std::move(value));
+    }
+  };
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/engines/lease_keeper.h
+++ b/src/kingcupdrift/engines/lease_keeper.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_ENGINES_LEASE_KEEPER_H_
 #define KINGCUPDRIFT_ENGINES_LEASE_KEEPER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,6 +47,10 @@
   /// Gives the lease back, if held, and stops trying.
   void Stop();
 
+  /// Whether this entry tries to acquire; true at first. Making few entries
+  /// candidates spares the store. A holder keeps what it has.
+  void SetCandidate(bool is_candidate) { is_candidate_ = is_candidate; }
+
   /// True only while it is safe to act. Reads the clock at each call, so that a
   /// holder that was paused past its lease finds out before it acts.
   bool IsHeld() const;
@@ -53,17 +58,25 @@
   FencingNumber fence() const;
 
  private:
-  enum class State { kStopped, kIdle, kAcquiring, kWaiting, kHeld };
+  enum class State { kStopped, kIdle, kAcquiring, kHeld };
 
   void Acquire();
-  void TakeKey(LeaseId lease, MonotonicTime sent_at);
-  void ResolveTake(LeaseId lease, MonotonicTime sent_at);
-  void OnTaken(LeaseId lease, StoreVersion version, MonotonicTime sent_at);
+  void Grant();
+  void TakeKey(MonotonicTime sent_at);
+  void OnTaken(StoreVersion version, MonotonicTime sent_at);
   void ScheduleRenewal();
   void Renew();
-  void GiveUp(LeaseId lease);
+  void OnRenewed(const Result<void>& renewed, MonotonicTime sent_at);
+  void WatchExpiry();
+  void GiveUpLease();
+  void LeaveHolding(State state);
   void RetryLater();
-  void CheckExpiry();
+  void Notify();
+
+  /// Drops answers that come after destruction or to an earlier acquisition.
+  template <typename T>
+  std::function<void(Result<T>)> Guarded(
+      std::function<void(Result<T>)> callback);
 
   Clock& clock_;
   Random& random_;
@@ -78,9 +91,14 @@
   FencingNumber fence_;
   MonotonicTime valid_until_{};
   MonotonicTime acts_from_{};
+  bool is_candidate_ = true;
   bool was_reported_ = false;
+  // Counts acquisitions, so that late answers to earlier ones are told apart.
+  std::uint64_t epoch_ = 0;
   std::unique_ptr<Timer> renew_timer_;
-  std::unique_ptr<Timer> state_timer_;
+  std::unique_ptr<Timer> start_timer_;
+  std::unique_ptr<Timer> expiry_timer_;
+  std::unique_ptr<Timer> retry_timer_;
   std::shared_ptr<bool> is_alive_;
 };
 
--- a/src/kingcupdrift/engines/placement_controller.h
+++ b/src/kingcupdrift/engines/placement_controller.h
@@ -53,6 +53,8 @@
   struct Target;
 
   void Pass();
+  bool IsSettled(const Target& target) const;
+  bool IsWanting(const Target& target) const;
   void Send(const EngineId& id, Target& target);
   void OnAnswer(const EngineId& id,
                 const PlacementOrder& order,
@@ -65,6 +67,8 @@
   PlacementCounters counters_;
   std::map<EngineId, Target> targets_;
   std::size_t in_flight_ = 0;
+  // Fencing number that an engine found too old.
+  FencingNumber refused_fence_{-1};
   std::unique_ptr<Timer> timer_;
   std::shared_ptr<bool> is_alive_;
 };
--- a/src/kingcupdrift/store/budgeted_store.h
+++ b/src/kingcupdrift/store/budgeted_store.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_STORE_BUDGETED_STORE_H_
 #define KINGCUPDRIFT_STORE_BUDGETED_STORE_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -43,23 +44,21 @@
                                     WatchCallback callback) override;
 
  private:
-  struct Deferred;
+  class CountedWatch;
 
+  /// Admits a call, runs it and reports whether the store answered. `call`
+  /// takes the callback to hand to the store.
   template <typename T>
-  std::function<void(Result<T>)> Counted(
-      std::function<void(Result<T>)> callback);
-  template <typename T, typename Call>
   void Run(StoreCallKind kind,
            std::function<void(Result<T>)> callback,
-           Call call);
-  void Defer(std::function<void()> action);
+           std::function<void(std::function<void(Result<T>)>)> call);
 
-  Clock& clock_;
   PlatformStore& store_;
   StoreBudget& budget_;
   StorePriority priority_;
-  // Callbacks that wait for the loop; dropped with the object.
-  std::shared_ptr<Deferred> deferred_;
+  DeferredCalls refusals_;
+  // Checked by callbacks of the store, which may come after destruction.
+  std::shared_ptr<bool> is_alive_;
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/store/store_budget.h
+++ b/src/kingcupdrift/store/store_budget.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "kingcupdrift/base/base.h"
 
@@ -18,9 +19,12 @@
 enum class StoreCallKind { kRead, kWrite };
 
 struct StoreBudgetLimits {
-  /// Calls a second of this entry; its share of the service's rate.
-  double reads_per_second = 200;
-  double writes_per_second = 40;
+  /// Calls a second of all entries together, below what the service takes.
+  double total_reads_per_second = 1600;
+  double total_writes_per_second = 320;
+  /// Most that one entry takes of that, however few the entries are.
+  double max_reads_per_second = 200;
+  double max_writes_per_second = 40;
   /// Calls that may go at once after a quiet time, as seconds of the rate.
   double burst_seconds = 1.0;
   std::uint32_t max_watches = 8;
@@ -68,6 +72,9 @@
   /// Reports whether the service answered an admitted call.
   void Report(bool has_answered);
 
+  /// Divides the totals evenly among `n` entries; 8 at first.
+  void SetEntryCount(std::size_t n) { entry_count_ = n == 0 ? 1 : n; }
+
   bool TryOpenWatch();
   void CloseWatch();
 
@@ -88,13 +95,18 @@
   void Serve();
   void ArmTimer();
   void Count(StoreCallKind kind);
+  /// Null when no waiting call can go or must be refused now.
+  Admission TakeNext(bool& is_admitted);
+  void EmptyBuckets();
   void StartOutage();
+  void LengthenOutage();
   void RefuseAll();
 
   Clock& clock_;
   Random& random_;
   StoreBudgetLimits limits_;
   StoreBudgetCounters counters_;
+  std::size_t entry_count_ = 8;
   std::array<Bucket, 2> buckets_;
   std::array<std::deque<Waiting>, kStorePriorityCount> waiting_;
   std::unique_ptr<Timer> timer_;
