--- a/src/kingcupdrift/engines/group_reserver.cc
+++ b/src/kingcupdrift/engines/group_reserver.cc
@@ -29,7 +29,7 @@
   request.owner = self_;
   request.attempt = attempt;
   request.time_to_live = limits_.time_to_live;
-  const ReservationId id = request.id;
+  ReservationId id = request.id;
   const Group::Context context{clock_, engines_, limits_};
   auto group = std::make_unique<Group>(
       context, std::move(request), std::move(members), std::move(callback),
