Add a cluster of real entries over the fakes, and its invariants

Scenarios need several whole entries in one process on a paused clock.

A node owns its entry, a freezable clock and its clients, so that killing, freezing and draining a process are one call each.

--- /dev/null
+++ b/tests/fakes/cluster.cc
@@ -0,0 +1,186 @@
+#include "tests/fakes/cluster.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <utility>
+
+#include "tests/fakes/cluster_names.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+constexpr Duration kPeerLatency = std::chrono::microseconds(500);
+constexpr Duration kStartLimit = std::chrono::minutes(1);
+/// Interval at which the entries' state is checked.
+constexpr Duration kWatchInterval = std::chrono::milliseconds(100);
+constexpr std::uint16_t kCallerPort = 8080;
+constexpr std::uint16_t kPeerPort = 7946;
+constexpr int kFailureDomains = 3;
+/// Spreads the seeds of one cluster's entries.
+constexpr std::uint64_t kSeedStride = 1000;
+
+std::string HostOf(const std::string& entry) {
+  return fmt::format("10.0.0.{}", entry.front() - 'a' + 1);
+}
+
+}  // namespace
+
+Cluster::Cluster(ClusterOptions options)
+    : options_(options),
+      store_(clock_),
+      list_(options.list_lag, clock_),
+      peers_(kPeerLatency, clock_),
+      engines_(clock_),
+      services_(clock_) {
+  for (int i = 0; i < options_.engines; ++i) {
+    EngineModelOptions engine;
+    engine.id = EngineName(i);
+    engine.memory = options_.engine_memory;
+    engine.prefill_rate = options_.prefill_rate;
+    engine.is_fencing_enforced = options_.is_fencing_enforced;
+    engine.seed = options_.seed + static_cast<std::uint64_t>(i);
+    engines_.Add(std::move(engine));
+  }
+}
+
+Cluster::~Cluster() = default;
+
+bool Cluster::Start() {
+  Approve("first");
+  for (int i = 0; i < options_.entries; ++i) {
+    StartEntry(EntryName(i));
+  }
+  WatchEntries();
+  return AdvanceUntil(
+      [this] {
+        for (const auto& [name, node] : nodes_) {
+          if (!node->entry().Status().is_ready) {
+            return false;
+          }
+        }
+        return true;
+      },
+      kStartLimit);
+}
+
+void Cluster::Advance(Duration step) {
+  clock_.Advance(step);
+}
+
+bool Cluster::AdvanceUntil(const std::function<bool()>& is_done,
+                           Duration limit) {
+  return clock_.AdvanceUntil(is_done, limit);
+}
+
+void Cluster::StartEntry(const std::string& name) {
+  EntrySettings settings;
+  settings.instance = InstanceId(name);
+  settings.site = SiteId(kSiteName);
+  settings.failure_domain = FailureDomain(
+      fmt::format("d{}", (name.front() - 'a') % kFailureDomains + 1));
+  settings.caller_endpoint = {HostOf(name), kCallerPort};
+  settings.peer_endpoint = {HostOf(name), kPeerPort};
+  settings.shared_secret = "secret";
+  for (int i = 0; i < options_.entries; ++i) {
+    if (EntryName(i) != name) {
+      settings.seed_peers.push_back({HostOf(EntryName(i)), kPeerPort});
+    }
+  }
+  const std::uint64_t seed =
+      options_.seed * kSeedStride + static_cast<std::uint64_t>(name.front()) +
+      static_cast<std::uint64_t>(clock_.Now().time_since_epoch().count());
+  const ClusterNetwork network{clock_, store_,   list_,
+                               peers_, engines_, services_};
+  nodes_[name] = std::make_unique<ClusterNode>(settings, seed, network);
+  list_.Set({settings.instance, settings.peer_endpoint, settings.failure_domain,
+             /*is_leaving=*/false});
+  nodes_[name]->entry().Start();
+}
+
+ClusterNode* Cluster::FindNode(const std::string& name) {
+  const auto it = nodes_.find(name);
+  return it == nodes_.end() ? nullptr : it->second.get();
+}
+
+void Cluster::KillEntry(const std::string& name) {
+  if (FindNode(name) == nullptr) {
+    return;
+  }
+  for (const auto& [id, call] : calls_) {
+    if (call->entry == name && !call->record->is_ended()) {
+      call->is_broken = true;
+    }
+  }
+  nodes_.erase(name);
+  RemoveFromList(name);
+}
+
+void Cluster::RemoveFromList(const std::string& name) {
+  list_.Remove(InstanceId(name));
+}
+
+void Cluster::Freeze(const std::string& name) {
+  if (ClusterNode* node = FindNode(name)) {
+    node->clock().Freeze();
+    for (const auto& [id, call] : calls_) {
+      call->was_frozen |= call->entry == name && !call->record->is_ended();
+    }
+  }
+}
+
+void Cluster::Thaw(const std::string& name) {
+  if (ClusterNode* node = FindNode(name)) {
+    node->clock().Thaw();
+  }
+}
+
+void Cluster::Drain(const std::string& name) {
+  ClusterNode* node = FindNode(name);
+  if (node == nullptr || node->drain_started) {
+    return;
+  }
+  node->drain_started = clock_.Now();
+  const EntrySettings& settings = node->settings();
+  list_.Set({settings.instance, settings.peer_endpoint, settings.failure_domain,
+             /*is_leaving=*/true});
+  node->inbox().Post(Duration::zero(), [node] { node->entry().StartDrain(); });
+}
+
+void Cluster::WatchEntries() {
+  CheckGenerations();
+  ReapDrained();
+  watch_timer_ = clock_.RunAfter(kWatchInterval, [this] { WatchEntries(); });
+}
+
+void Cluster::CheckGenerations() {
+  for (const auto& [name, node] : nodes_) {
+    const Generation now = node->entry().Status().generation;
+    if (now < node->generation) {
+      AddFault(fmt::format("entry {} went from generation {} back to {}", name,
+                           node->generation.value(), now.value()));
+    }
+    node->generation = std::max(node->generation, now);
+  }
+}
+
+void Cluster::ReapDrained() {
+  std::vector<std::string> drained;
+  for (const auto& [name, node] : nodes_) {
+    if (node->drain_started && !node->clock().is_frozen() &&
+        node->entry().IsDrained()) {
+      drained.push_back(name);
+    }
+  }
+  for (const std::string& name : drained) {
+    KillEntry(name);
+  }
+}
+
+void Cluster::AddFault(const std::string& text) {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_.Now().time_since_epoch());
+  faults_.push_back(fmt::format("{} ms: {}", now.count(), text));
+}
+
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/fakes/cluster.h
@@ -0,0 +1,148 @@
+#ifndef TESTS_FAKES_CLUSTER_H_
+#define TESTS_FAKES_CLUSTER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/config/config.h"
+#include "kingcupdrift/entry/entry.h"
+#include "tests/fakes/cluster_call.h"
+#include "tests/fakes/cluster_node.h"
+#include "tests/fakes/cluster_operator.h"
+#include "tests/fakes/engine_fleet.h"
+#include "tests/fakes/fake_instance_list.h"
+#include "tests/fakes/fake_peer_network.h"
+#include "tests/fakes/fake_service.h"
+#include "tests/fakes/manual_clock.h"
+#include "tests/fakes/store_model.h"
+
+namespace kingcupdrift::fakes {
+
+struct ClusterOptions {
+  int entries = 3;
+  int engines = 4;
+  int services = 1;
+  bool is_fencing_enforced = true;
+  TokenCount engine_memory{400'000};
+  double prefill_rate = 20'000;
+  Duration list_lag = std::chrono::seconds(2);
+  std::uint64_t seed = 1;
+};
+
+/// Several real entries over one set of fakes and one paused clock. Entries are
+/// named "a", "b", ..., engines "e1", "e2", ..., plain services "p1", ....
+class Cluster {
+ public:
+  explicit Cluster(ClusterOptions options);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  /// Approves a first configuration and waits until every entry is ready;
+  /// false if that takes longer than a minute.
+  bool Start();
+
+  /// Moves time on; faults of the invariants are gathered on the way.
+  void Advance(Duration step);
+  bool AdvanceUntil(const std::function<bool()>& is_done, Duration limit);
+
+  // Entries.
+  void StartEntry(const std::string& name);
+  /// The process dies: its callers' connections break.
+  void KillEntry(const std::string& name);
+  void Freeze(const std::string& name);
+  void Thaw(const std::string& name);
+  /// SIGTERM; the process ends once it is drained.
+  void Drain(const std::string& name);
+  /// Null while the entry is not running.
+  ClusterNode* FindNode(const std::string& name);
+  std::map<std::string, std::unique_ptr<ClusterNode>>& nodes() {
+    return nodes_;
+  }
+
+  // Callers.
+  ClusterCall& Submit(const std::string& entry,
+                      const std::string& name,
+                      const CompletionSpec& spec);
+  /// `key` names an idempotency key, created at its first use.
+  ClusterCall& Order(const std::string& entry,
+                     const std::string& name,
+                     const std::string& key,
+                     Duration limit);
+  /// Goes on with `earlier` at another entry, from what its caller has.
+  ClusterCall& Resume(const std::string& entry,
+                      const std::string& name,
+                      const std::string& earlier);
+  /// The caller closes its connection.
+  void Leave(const std::string& name);
+  /// Null for an unknown call.
+  ClusterCall* FindCall(const std::string& name);
+  const std::map<std::string, std::unique_ptr<ClusterCall>>& calls() const {
+    return calls_;
+  }
+
+  /// The idempotency key that a name stands for.
+  std::string KeyOf(const std::string& name);
+
+  // Operators.
+  /// Starts to approve a changed configuration; the result is in
+  /// `approvals()`.
+  void Approve(const std::string& operator_name);
+  /// Results by operator: "pending", "approved", or an error's name.
+  const std::map<std::string, std::string>& approvals() const {
+    return approvals_;
+  }
+  /// Highest generation whose approval was confirmed, and when.
+  Generation approved_generation() const { return approved_; }
+  MonotonicTime approved_at() const { return approved_at_; }
+
+  ManualClock& clock() { return clock_; }
+  StoreModel& store() { return store_; }
+  InstanceListModel& list() { return list_; }
+  FakePeerNetwork& peers() { return peers_; }
+  EngineFleet& engines() { return engines_; }
+  ServiceFleet& services() { return services_; }
+  const ClusterOptions& options() const { return options_; }
+
+  /// Promises broken so far, as text with the time.
+  const std::vector<std::string>& faults() const { return faults_; }
+  void AddFault(const std::string& text);
+
+ private:
+  ConfigDocuments MakeDocuments(int revision) const;
+  void WatchEntries();
+  void CheckGenerations();
+  void ReapDrained();
+  void RemoveFromList(const std::string& name);
+  ClusterCall& AddCall(const std::string& entry, const std::string& name);
+  void Deliver(ClusterCall& call,
+               const std::string& entry,
+               std::function<void(Entry&, std::unique_ptr<CallerSink>)> action);
+
+  ClusterOptions options_;
+  ManualClock clock_;
+  StoreModel store_;
+  InstanceListModel list_;
+  FakePeerNetwork peers_;
+  EngineFleet engines_;
+  ServiceFleet services_;
+  std::map<std::string, std::unique_ptr<ClusterNode>> nodes_;
+  std::map<std::string, std::unique_ptr<ClusterCall>> calls_;
+  std::map<std::string, std::string> keys_;
+  int revision_ = 0;
+  std::map<std::string, std::unique_ptr<ClusterOperator>> operators_;
+  std::map<std::string, std::string> approvals_;
+  Generation approved_;
+  MonotonicTime approved_at_;
+  std::vector<std::string> faults_;
+  std::unique_ptr<Timer> watch_timer_;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FAKES_CLUSTER_H_
--- /dev/null
+++ b/tests/fakes/cluster_invariants.cc
@@ -0,0 +1,178 @@
+#include "tests/fakes/cluster_invariants.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+
+#include "tests/fakes/prompt_reader.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+using Faults = std::vector<std::string>;
+
+/// Timers of one loop turn may run this late.
+constexpr Duration kTimerGrace = std::chrono::milliseconds(100);
+/// A leaving instance gets no new work after this long.
+constexpr Duration kLeavingLimit = std::chrono::seconds(3);
+/// An approved configuration is in force everywhere after this long.
+constexpr Duration kConfigLimit = std::chrono::seconds(7);
+
+void CheckAnswer(const ClusterCall& call, Faults& faults) {
+  const CallRecord& record = *call.record;
+  if (record.endings > 1) {
+    faults.push_back(
+        fmt::format("{} ended {} times", call.name, record.endings));
+  }
+  if (call.is_order()) {
+    return;
+  }
+  const std::string expected = ExpectedAnswer(*call.body, record.tokens);
+  if (record.has_gap || call.text() != expected) {
+    faults.push_back(fmt::format(
+        "{} got a wrong answer of {} tokens (gap: {}, {} of {} bytes)",
+        call.name, record.tokens, record.has_gap, call.text().size(),
+        expected.size()));
+  }
+  if (record.end && record.tokens != call.output_tokens) {
+    faults.push_back(fmt::format("{} finished with {} of {} tokens", call.name,
+                                 record.tokens, call.output_tokens));
+  }
+}
+
+int CallsWithKey(Cluster& cluster, const std::string& key) {
+  int n = 0;
+  for (const auto& [name, call] : cluster.calls()) {
+    n += call->key == key ? 1 : 0;
+  }
+  return n;
+}
+
+int RunsOfRequest(Cluster& cluster, const RequestId& request) {
+  int n = 0;
+  for (const auto& [id, engine] : cluster.engines().engines()) {
+    const auto& runs = engine->counters().runs_of_requests;
+    const auto it = runs.find(request);
+    n += it == runs.end() ? 0 : it->second;
+  }
+  return n;
+}
+
+}  // namespace
+
+Faults CheckTimeLimits(Cluster& cluster) {
+  Faults faults;
+  for (const auto& [name, call] : cluster.calls()) {
+    if (call->is_broken || call->was_frozen) {
+      continue;
+    }
+    const CallRecord& record = *call->record;
+    const MonotonicTime latest = record.submitted + call->limit + kTimerGrace;
+    const bool is_late = record.is_ended() ? record.ended > latest
+                                           : cluster.clock().Now() > latest;
+    if (is_late) {
+      faults.push_back(fmt::format("{} did not end within its limit", name));
+    }
+  }
+  return faults;
+}
+
+Faults CheckNoMemoryHeld(Cluster& cluster) {
+  Faults faults;
+  for (const auto& [id, engine] : cluster.engines().engines()) {
+    if (engine->HeldMemory() != TokenCount(0)) {
+      faults.push_back(fmt::format("engine {} still holds {} tokens",
+                                   id.value(), engine->HeldMemory().value()));
+    }
+  }
+  return faults;
+}
+
+Faults CheckWholeAnswers(Cluster& cluster) {
+  Faults faults;
+  for (const auto& [name, call] : cluster.calls()) {
+    CheckAnswer(*call, faults);
+  }
+  return faults;
+}
+
+Faults CheckNotRunIsTrue(Cluster& cluster) {
+  Faults faults;
+  for (const auto& [name, call] : cluster.calls()) {
+    if (call->outcome() != "not_run") {
+      continue;
+    }
+    int runs = 0;
+    if (call->is_order()) {
+      // With a shared key, another call may have run it.
+      const bool is_own = CallsWithKey(cluster, call->key) == 1;
+      runs = is_own ? cluster.services().RunsOfKey(call->key) : 0;
+    } else if (!call->request.empty() && call->earlier_tokens == 0) {
+      runs = RunsOfRequest(cluster, call->request);
+    }
+    if (runs > 0) {
+      faults.push_back(
+          fmt::format("{} was told not_run and ran {} times", name, runs));
+    }
+  }
+  return faults;
+}
+
+Faults CheckAtMostOnce(Cluster& cluster) {
+  Faults faults;
+  for (const auto& [id, model] : cluster.services().models()) {
+    for (const auto& [key, n] : model.runs_by_key()) {
+      const int total = cluster.services().RunsOfKey(key);
+      if (total > 1) {
+        faults.push_back(fmt::format("key {} ran {} times", key, total));
+      }
+    }
+  }
+  return faults;
+}
+
+Faults CheckLeaving(Cluster& cluster) {
+  Faults faults;
+  for (const auto& [name, call] : cluster.calls()) {
+    const bool is_admitted =
+        call->record->is_ended()
+            ? !(call->record->problem &&
+                call->record->problem->type == ProblemType::kLeaving)
+            : !call->is_broken && !call->was_frozen;
+    if (call->leaving_for >= kLeavingLimit && is_admitted &&
+        !call->was_frozen && call->earlier_tokens == 0) {
+      faults.push_back(fmt::format("{} was admitted by a leaving entry", name));
+    }
+  }
+  return faults;
+}
+
+Faults CheckGenerationInForce(Cluster& cluster) {
+  Faults faults;
+  if (cluster.clock().Now() - cluster.approved_at() < kConfigLimit) {
+    return faults;
+  }
+  for (const auto& [name, node] : cluster.nodes()) {
+    const Generation now = node->entry().Status().generation;
+    if (!node->clock().is_frozen() && now < cluster.approved_generation()) {
+      faults.push_back(fmt::format("entry {} has generation {}, approved is {}",
+                                   name, now.value(),
+                                   cluster.approved_generation().value()));
+    }
+  }
+  return faults;
+}
+
+Faults CheckAll(Cluster& cluster) {
+  Faults faults = cluster.faults();
+  for (const auto check :
+       {CheckTimeLimits, CheckNoMemoryHeld, CheckWholeAnswers,
+        CheckNotRunIsTrue, CheckAtMostOnce, CheckLeaving,
+        CheckGenerationInForce}) {
+    const Faults found = check(cluster);
+    faults.insert(faults.end(), found.begin(), found.end());
+  }
+  return faults;
+}
+
+}  // namespace kingcupdrift::fakes
--- a/tests/fakes/engine_model.cc
+++ b/tests/fakes/engine_model.cc
@@ -84,6 +84,7 @@
       static_cast<std::int64_t>(cache_.CountCachedPrefix(taken.prompt.blocks) *
                                 options_.block.value())));
   ++counters_.runs[attempt];
+  ++counters_.runs_of_requests[taken.request];
   waiting_.insert(stream.get());
   streams_.emplace(attempt, std::move(stream));
   WakeUp();
--- a/tests/fakes/engine_model.h
+++ b/tests/fakes/engine_model.h
@@ -81,6 +81,8 @@
 struct EngineModelCounters {
   /// Starts accepted, for each attempt.
   std::map<AttemptId, int> runs;
+  /// The same for each request.
+  std::map<RequestId, int> runs_of_requests;
   std::uint64_t finished = 0;
   std::uint64_t cancelled = 0;
   std::uint64_t expired = 0;
