Run Lua scenarios over a cluster of real entries

Lua 5.4 through its C interface: verbs are plain functions over a Cluster.

Killing an entry now closes its clients first: its destructor cancelled its streams at the engines, which kill -9 would not (two scenarios failed so).

--- a/tests/fakes/cluster.cc
+++ b/tests/fakes/cluster.cc
@@ -112,6 +112,7 @@
       call->is_broken = true;
     }
   }
+  FindNode(name)->Kill();
   nodes_.erase(name);
   RemoveFromList(name);
 }
--- a/tests/fakes/cluster_node.cc
+++ b/tests/fakes/cluster_node.cc
@@ -35,4 +35,11 @@
 
 ClusterNode::~ClusterNode() = default;
 
+void ClusterNode::Kill() {
+  store_.Close();
+  engines_.Close();
+  services_.Close();
+  peers_.Close();
+}
+
 }  // namespace kingcupdrift::fakes
--- a/tests/fakes/cluster_node.h
+++ b/tests/fakes/cluster_node.h
@@ -44,6 +44,10 @@
   /// Events that reach the process, in order; they wait while it is frozen.
   DeferredCalls& inbox() { return inbox_; }
 
+  /// The process dies: from now on it does nothing more outside itself, also
+  /// while it is destroyed.
+  void Kill();
+
   /// When the stop was asked for.
   std::optional<MonotonicTime> drain_started;
   /// Highest generation seen in force.
--- a/tests/fakes/fake_engine_client.cc
+++ b/tests/fakes/fake_engine_client.cc
@@ -105,6 +105,9 @@
                                  ErrorCode lost,
                                  std::function<Result<T>(EngineModel&)> action,
                                  std::function<void(Result<T>)> callback) {
+  if (is_closed_) {
+    return;
+  }
   const EngineLinkFault& fault = fleet_.fault(engine);
   if (fault.is_down || fleet_.Find(engine) == nullptr) {
     replies_->Post(options_.latency, [callback = std::move(callback)] {
--- a/tests/fakes/fake_engine_client.h
+++ b/tests/fakes/fake_engine_client.h
@@ -28,8 +28,8 @@
 };
 
 /// Calls the models of a fleet in process, with latency and faults. One client
-/// stands for one entry; destroying it is that entry's death: its messages on
-/// the way still arrive, and no callback comes any more.
+/// stands for one entry; closing and destroying it is that entry's death: its
+/// messages on the way still arrive, and no callback comes any more.
 class FakeEngineClient : public EngineClient {
  public:
   FakeEngineClient(FakeEngineClientOptions options,
@@ -37,6 +37,9 @@
                    Clock& clock);
   ~FakeEngineClient() override;
 
+  /// The process is gone: later calls do nothing.
+  void Close() { is_closed_ = true; }
+
   std::unique_ptr<EngineStream> Start(const EngineAddress& engine,
                                       const EngineStreamRequest& request,
                                       EngineStreamObserver& observer) override;
@@ -84,6 +87,7 @@
   FakeEngineClientOptions options_;
   EngineFleet& fleet_;
   Clock& clock_;
+  bool is_closed_ = false;
   // Shared with messages in flight, which may outlive the client.
   std::shared_ptr<DeferredCalls> replies_;
 };
--- a/tests/fakes/fake_peer_network.cc
+++ b/tests/fakes/fake_peer_network.cc
@@ -32,7 +32,9 @@
 }
 
 void FakePeerLink::Send(const Endpoint& peer, const PeerMessage& message) {
-  network_.Send(local_, peer, message);
+  if (!is_closed_) {
+    network_.Send(local_, peer, message);
+  }
 }
 
 void FakePeerLink::Receive(const PeerMessage& message) {
--- a/tests/fakes/fake_peer_network.h
+++ b/tests/fakes/fake_peer_network.h
@@ -54,6 +54,9 @@
   FakePeerLink(Endpoint local, FakePeerNetwork& network, Clock& clock);
   ~FakePeerLink() override;
 
+  /// The process is gone: it neither sends nor receives any more.
+  void Close() { is_closed_ = true; }
+
   void Send(const Endpoint& peer, const PeerMessage& message) override;
   void SetReceiver(Receiver receiver) override {
     receiver_ = std::move(receiver);
@@ -67,6 +70,7 @@
   Endpoint local_;
   FakePeerNetwork& network_;
   Receiver receiver_;
+  bool is_closed_ = false;
   DeferredCalls inbox_;
 };
 
--- a/tests/fakes/fake_service.cc
+++ b/tests/fakes/fake_service.cc
@@ -121,7 +121,9 @@
     const ServiceRequest& request,
     Callback callback) {
   auto call = std::make_unique<FakeCall>(clock_, std::move(callback));
-  call->Send(fleet_, target.id, request);
+  if (!is_closed_) {
+    call->Send(fleet_, target.id, request);
+  }
   return call;
 }
 
--- a/tests/fakes/fake_service.h
+++ b/tests/fakes/fake_service.h
@@ -77,6 +77,9 @@
  public:
   FakeServiceClient(ServiceFleet& fleet, Clock& clock);
 
+  /// The process is gone: later calls do nothing.
+  void Close() { is_closed_ = true; }
+
   std::unique_ptr<ServiceCall> Call(const EngineAddress& target,
                                     const ServiceRequest& request,
                                     Callback callback) override;
@@ -86,6 +89,7 @@
 
   ServiceFleet& fleet_;
   Clock& clock_;
+  bool is_closed_ = false;
 };
 
 }  // namespace kingcupdrift::fakes
--- a/tests/fakes/fake_store.cc
+++ b/tests/fakes/fake_store.cc
@@ -18,6 +18,9 @@
   }
 
   void Open(const std::string& prefix, StoreVersion after) {
+    if (store_.is_closed_) {
+      return;
+    }
     if (store_.model_.fault().is_down) {
       Fail({ErrorCode::kUnavailable, "connection refused"});
       return;
@@ -94,6 +97,9 @@
 void FakeStore::Call(CallKind kind,
                      std::function<Result<T>(StoreModel&)> action,
                      std::function<void(Result<T>)> callback) {
+  if (is_closed_) {
+    return;
+  }
   if (model_.fault().is_down) {
     replies_->Post(options_.latency, [callback = std::move(callback)] {
       callback(MakeError(ErrorCode::kUnavailable, "connection refused"));
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -20,9 +20,9 @@
   Duration call_timeout = std::chrono::seconds(2);
 };
 
-/// One entry's client of a StoreModel. Destroying it is that entry's death: its
-/// requests on the way still take effect, and no callback comes any more. The
-/// model outlives it.
+/// One entry's client of a StoreModel. Closing and destroying it is that
+/// entry's death: its requests on the way still take effect, and no callback
+/// comes any more. The model outlives it.
 class FakeStore : public PlatformStore {
  public:
   FakeStore(FakeStoreOptions options, StoreModel& model, Clock& clock);
@@ -45,6 +45,8 @@
                                     StoreVersion after,
                                     WatchCallback callback) override;
 
+  /// The process is gone: later calls do nothing.
+  void Close() { is_closed_ = true; }
   /// Requests of this client never arrive.
   void SetSilentToStore(bool is_silent) { is_silent_to_store_ = is_silent; }
   /// Answers to this client never arrive. Watches open while it was set stay
@@ -63,6 +65,7 @@
   FakeStoreOptions options_;
   StoreModel& model_;
   Clock& clock_;
+  bool is_closed_ = false;
   bool is_silent_to_store_ = false;
   // Shared with requests in flight, which may outlive the client.
   std::shared_ptr<bool> is_silent_from_store_;
--- a/tests/fakes/standin/list_standin.h
+++ b/tests/fakes/standin/list_standin.h
@@ -10,7 +10,7 @@
 
 /// The lagging list of instances as Kubernetes EndpointSlices. Its rows are
 /// changed over the control listener:
-///   POST /set with {"id","ip","port","domain","leaving":bool};
+///   POST /set with {"id","ip","port","caller_port","domain","leaving":bool};
 ///   POST /remove with {"id"}.
 class ListStandin {
  public:
--- /dev/null
+++ b/tests/scenarios/call_verbs_harness.cc
@@ -0,0 +1,130 @@
+// Verbs that act as callers.
+
+#include "tests/scenarios/scenario.h"
+
+namespace kingcupdrift::scenarios {
+namespace {
+
+using fakes::ClusterCall;
+using fakes::CompletionSpec;
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
+
+/// The call that an argument names; null after a failure.
+ClusterCall* CallAt(Scenario& scenario, ScriptCall& call, int index) {
+  const std::string name = call.Text(index);
+  ClusterCall* found = scenario.cluster->FindCall(name);
+  if (found == nullptr) {
+    call.Fail("no call " + name);
+  }
+  return found;
+}
+
+/// submit(entry, name, {prompt=, output=, limit=})
+void Submit(Scenario& scenario, ScriptCall& call) {
+  CompletionSpec spec;
+  spec.prompt_tokens =
+      static_cast<std::int64_t>(call.NumberOption("prompt", 100));
+  spec.output_tokens =
+      static_cast<std::int64_t>(call.NumberOption("output", 20));
+  spec.limit = FromSeconds(call.NumberOption("limit", 60));
+  scenario.cluster->Submit(call.Text(1), call.Text(2), spec);
+}
+
+/// order(entry, name, key, {limit=})
+void Order(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Order(call.Text(1), call.Text(2), call.Text(3),
+                          FromSeconds(call.NumberOption("limit", 30)));
+}
+
+/// resume(entry, name, earlier)
+void Resume(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Resume(call.Text(1), call.Text(2), call.Text(3));
+}
+
+void Leave(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Leave(call.Text(1));
+}
+
+void OutcomeOf(Scenario& scenario, ScriptCall& call) {
+  if (const ClusterCall* found = CallAt(scenario, call, 1)) {
+    call.Return(found->outcome());
+  }
+}
+
+void ProblemOf(Scenario& scenario, ScriptCall& call) {
+  if (const ClusterCall* found = CallAt(scenario, call, 1)) {
+    call.Return(DescribeProblem(*found));
+  }
+}
+
+void TokensOf(Scenario& scenario, ScriptCall& call) {
+  if (const ClusterCall* found = CallAt(scenario, call, 1)) {
+    call.Return(static_cast<double>(found->record->tokens));
+  }
+}
+
+/// wait_tokens(name, n, limit)
+void WaitTokens(Scenario& scenario, ScriptCall& call) {
+  const ClusterCall* found = CallAt(scenario, call, 1);
+  const auto n = static_cast<std::uint64_t>(call.Number(2, 1));
+  const Duration limit = call.Seconds(3, 120);
+  if (call.has_failed()) {
+    return;
+  }
+  const bool is_reached = scenario.cluster->AdvanceUntil(
+      [&] { return found->record->tokens >= n || found->is_over(); }, limit);
+  if (!is_reached || found->record->tokens < n) {
+    call.Fail("the tokens did not come: " + found->outcome() + " " +
+              DescribeProblem(*found));
+  }
+}
+
+/// wait_ended(name, limit)
+void WaitEnded(Scenario& scenario, ScriptCall& call) {
+  const ClusterCall* found = CallAt(scenario, call, 1);
+  const Duration limit = call.Seconds(2, 300);
+  if (!call.has_failed() && !scenario.cluster->AdvanceUntil(
+                                [&] { return found->is_over(); }, limit)) {
+    call.Fail(found->name + " did not end");
+  }
+}
+
+/// Executions of the idempotency key that a name stands for.
+void RunsOf(Scenario& scenario, ScriptCall& call) {
+  const std::string key = scenario.cluster->KeyOf(call.Text(1));
+  call.Return(static_cast<double>(scenario.cluster->services().RunsOfKey(key)));
+}
+
+/// The caller's connection stops or goes on taking bytes.
+void SetUnsent(Scenario& scenario, ScriptCall& call) {
+  if (ClusterCall* found = CallAt(scenario, call, 1)) {
+    found->record->unsent =
+        ByteCount(static_cast<std::int64_t>(call.Number(2)));
+  }
+}
+
+void CallerDrained(Scenario& scenario, ScriptCall& call) {
+  ClusterCall* found = CallAt(scenario, call, 1);
+  if (found == nullptr) {
+    return;
+  }
+  if (fakes::ClusterNode* node = scenario.cluster->FindNode(found->entry)) {
+    node->entry().CallerDrained(found->request);
+  }
+}
+
+}  // namespace
+
+std::vector<Verb> CallVerbs() {
+  return {{"submit", Submit},        {"order", Order},
+          {"resume", Resume},        {"leave", Leave},
+          {"outcome_of", OutcomeOf}, {"problem_of", ProblemOf},
+          {"tokens_of", TokensOf},   {"wait_tokens", WaitTokens},
+          {"wait_ended", WaitEnded}, {"runs_of", RunsOf},
+          {"set_unsent", SetUnsent}, {"caller_drained", CallerDrained}};
+}
+
+}  // namespace kingcupdrift::scenarios
--- /dev/null
+++ b/tests/scenarios/check_verbs_harness.cc
@@ -0,0 +1,78 @@
+// Verbs that check what must hold.
+
+#include <fmt/format.h>
+
+#include "tests/fakes/cluster_invariants.h"
+#include "tests/scenarios/scenario.h"
+
+namespace kingcupdrift::scenarios {
+namespace {
+
+using fakes::ClusterCall;
+
+void FailWith(ScriptCall& call, const std::vector<std::string>& faults) {
+  std::string text;
+  for (const std::string& fault : faults) {
+    text += (text.empty() ? "" : "; ") + fault;
+  }
+  if (!text.empty()) {
+    call.Fail(text);
+  }
+}
+
+/// expect(condition, message)
+void Expect(Scenario&, ScriptCall& call) {
+  if (!call.Flag(1)) {
+    call.Fail(call.Text(2));
+  }
+}
+
+/// expect_outcome(name, outcome, ...): any of the outcomes will do.
+void ExpectOutcome(Scenario& scenario, ScriptCall& call) {
+  const std::string name = call.Text(1);
+  const ClusterCall* found = scenario.cluster->FindCall(name);
+  if (found == nullptr) {
+    call.Fail("no call " + name);
+    return;
+  }
+  std::string allowed;
+  for (int i = 2; !lua_isnoneornil(call.state(), i); ++i) {
+    const std::string outcome = call.Text(i);
+    if (outcome == found->outcome()) {
+      return;
+    }
+    allowed += outcome + " ";
+  }
+  call.Fail(fmt::format("{} is {}, not {}({})", name, found->outcome(), allowed,
+                        DescribeProblem(*found)));
+}
+
+void ExpectWhole(Scenario& scenario, ScriptCall& call) {
+  FailWith(call, CheckWholeAnswers(*scenario.cluster));
+}
+
+void ExpectAtMostOnce(Scenario& scenario, ScriptCall& call) {
+  FailWith(call, CheckAtMostOnce(*scenario.cluster));
+}
+
+void ExpectNoMemoryHeld(Scenario& scenario, ScriptCall& call) {
+  FailWith(call, CheckNoMemoryHeld(*scenario.cluster));
+}
+
+/// All invariants, at the end of a script.
+void ExpectAll(Scenario& scenario, ScriptCall& call) {
+  FailWith(call, CheckAll(*scenario.cluster));
+}
+
+}  // namespace
+
+std::vector<Verb> CheckVerbs() {
+  return {{"expect", Expect},
+          {"expect_outcome", ExpectOutcome},
+          {"expect_whole", ExpectWhole},
+          {"expect_runs_at_most_once", ExpectAtMostOnce},
+          {"expect_no_memory_held", ExpectNoMemoryHeld},
+          {"expect_all", ExpectAll}};
+}
+
+}  // namespace kingcupdrift::scenarios
--- /dev/null
+++ b/tests/scenarios/cluster_verbs_harness.cc
@@ -0,0 +1,147 @@
+// Verbs that act on entries: start, death, pause, stop, network, operators.
+
+#include "tests/scenarios/scenario.h"
+
+namespace kingcupdrift::scenarios {
+namespace {
+
+using fakes::Cluster;
+using fakes::ClusterNode;
+using fakes::ClusterOptions;
+
+/// The node that an argument names; null after a failure.
+ClusterNode* NodeAt(Scenario& scenario, ScriptCall& call, int index) {
+  const std::string name = call.Text(index);
+  ClusterNode* node = scenario.cluster->FindNode(name);
+  if (node == nullptr) {
+    call.Fail("no entry " + name + " is running");
+  }
+  return node;
+}
+
+void StartCluster(Scenario& scenario, ScriptCall& call) {
+  ClusterOptions options;
+  options.seed = scenario.seed;
+  options.entries = static_cast<int>(call.NumberOption("entries", 3));
+  options.engines = static_cast<int>(call.NumberOption("engines", 4));
+  options.services = static_cast<int>(call.NumberOption("services", 1));
+  options.is_fencing_enforced = call.FlagOption("fencing", true);
+  options.engine_memory = TokenCount(
+      static_cast<std::int64_t>(call.NumberOption("memory", 400'000)));
+  scenario.cluster = std::make_unique<Cluster>(options);
+  if (!scenario.cluster->Start()) {
+    call.Fail("the entries did not become ready");
+  }
+}
+
+void Advance(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Advance(call.Seconds(1));
+}
+
+void WaitFor(Scenario& scenario, ScriptCall& call) {
+  const auto condition = call.Condition(1);
+  const Duration limit = call.Seconds(2, 120);
+  if (!call.has_failed() && !scenario.cluster->AdvanceUntil(condition, limit)) {
+    call.Fail("the condition did not come to hold in time");
+  }
+}
+
+void StartEntry(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->StartEntry(call.Text(1));
+}
+
+void KillEntry(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->KillEntry(call.Text(1));
+}
+
+void Freeze(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Freeze(call.Text(1));
+}
+
+void Thaw(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Thaw(call.Text(1));
+}
+
+void Drain(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Drain(call.Text(1));
+}
+
+void IsRunning(Scenario& scenario, ScriptCall& call) {
+  call.Return(scenario.cluster->FindNode(call.Text(1)) != nullptr);
+}
+
+void Cut(Scenario& scenario, ScriptCall& call) {
+  ClusterNode* a = NodeAt(scenario, call, 1);
+  ClusterNode* b = NodeAt(scenario, call, 2);
+  if (!call.has_failed()) {
+    scenario.cluster->peers().Cut(a->settings().peer_endpoint,
+                                  b->settings().peer_endpoint);
+  }
+}
+
+void CutOneWay(Scenario& scenario, ScriptCall& call) {
+  ClusterNode* a = NodeAt(scenario, call, 1);
+  ClusterNode* b = NodeAt(scenario, call, 2);
+  if (!call.has_failed()) {
+    scenario.cluster->peers().CutOneWay(a->settings().peer_endpoint,
+                                        b->settings().peer_endpoint);
+  }
+}
+
+void Heal(Scenario& scenario, ScriptCall&) {
+  scenario.cluster->peers().HealAll();
+}
+
+void Approve(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->Approve(call.Text(1));
+}
+
+void ApprovalOf(Scenario& scenario, ScriptCall& call) {
+  const auto& approvals = scenario.cluster->approvals();
+  const auto it = approvals.find(call.Text(1));
+  call.Return(it == approvals.end() ? std::string("none") : it->second);
+}
+
+void GenerationOf(Scenario& scenario, ScriptCall& call) {
+  if (ClusterNode* node = NodeAt(scenario, call, 1)) {
+    call.Return(static_cast<double>(node->entry().Status().generation.value()));
+  }
+}
+
+/// Whether the entry tells callers to use another one.
+void Lists(Scenario& scenario, ScriptCall& call) {
+  ClusterNode* node = NodeAt(scenario, call, 1);
+  ClusterNode* other = NodeAt(scenario, call, 2);
+  if (call.has_failed()) {
+    return;
+  }
+  bool is_listed = false;
+  for (const Endpoint& it :
+       node->entry().ListEntries(WorkspaceId("w")).entries) {
+    is_listed |= it == other->settings().caller_endpoint;
+  }
+  call.Return(is_listed);
+}
+
+}  // namespace
+
+std::vector<Verb> ClusterVerbs() {
+  return {{"cluster", StartCluster},
+          {"advance", Advance},
+          {"wait_for", WaitFor},
+          {"start_entry", StartEntry},
+          {"kill_entry", KillEntry},
+          {"freeze", Freeze},
+          {"thaw", Thaw},
+          {"drain", Drain},
+          {"is_running", IsRunning},
+          {"cut", Cut},
+          {"cut_one_way", CutOneWay},
+          {"heal", Heal},
+          {"approve", Approve},
+          {"approval_of", ApprovalOf},
+          {"generation_of", GenerationOf},
+          {"lists", Lists}};
+}
+
+}  // namespace kingcupdrift::scenarios
--- /dev/null
+++ b/tests/scenarios/leaving_order_in_progress.lua
@@ -0,0 +1,16 @@
+-- A planned stop with an order in progress and a lost reply of the store.
+cluster{}
+service_fault("p1", {run_time = 4})
+order("a", "o", "k")
+wait_for(function() return runs_of("k") == 1 end, 10)
+lose_store_replies(2)
+drain("a")
+wait_ended("o")
+expect_outcome("o", "completed")
+wait_for(function() return not is_running("a") end, 60)
+order("b", "again", "k")
+wait_ended("again")
+expect_outcome("again", "completed")
+expect(runs_of("k") == 1, "it ran again")
+advance(30)
+expect_all()
--- /dev/null
+++ b/tests/scenarios/memory_entry_dies.lua
@@ -0,0 +1,11 @@
+-- Engine memory, process death: an entry dies while it holds a group's memory.
+cluster{}
+submit("a", "big", {prompt = 1000000, output = 50, limit = 200})
+wait_for(function()
+  return memory_of("e1") + memory_of("e2") + memory_of("e3") + memory_of("e4")
+    > 1000000
+end, 30)
+kill_entry("a")
+advance(300)
+expect_no_memory_held()
+expect_all()
--- /dev/null
+++ b/tests/scenarios/once_store_down_mid_order.lua
@@ -0,0 +1,17 @@
+-- At most once, store goes down between intent and result.
+cluster{}
+service_fault("p1", {run_time = 3})
+order("a", "first", "k")
+wait_for(function() return runs_of("k") == 1 end, 10)
+store_down(true)
+wait_ended("first")
+expect_outcome("first", "completed")
+order("b", "second", "k", {limit = 5})
+wait_ended("second")
+store_down(false)
+advance(30)
+order("c", "third", "k")
+wait_ended("third")
+expect(runs_of("k") == 1, "it ran again")
+advance(30)
+expect_all()
--- /dev/null
+++ b/tests/scenarios/placement_unfenced_engines.lua
@@ -0,0 +1,16 @@
+-- The same with engines that ignore the fencing number.
+cluster{fencing = false}
+advance(15)
+for _, name in ipairs{"a", "b"} do
+  freeze(name)
+  approve("op-" .. name)
+  wait_for(function() return approval_of("op-" .. name) == "approved" end, 30)
+  advance(40)
+  thaw(name)
+  advance(40)
+end
+for n = 1, 4 do
+  local count, version = orders_of("e" .. n)
+  expect(version == "v3", "e" .. n .. " has version " .. version)
+end
+expect_all()
--- /dev/null
+++ b/tests/scenarios/platform_verbs_harness.cc
@@ -0,0 +1,152 @@
+// Verbs that act on the store, the engines and the plain services.
+
+#include "tests/scenarios/scenario.h"
+
+namespace kingcupdrift::scenarios {
+namespace {
+
+using fakes::EngineLinkFault;
+using fakes::ServiceFault;
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
+
+/// store_down(is_down)
+void StoreDown(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->store().SetFault({.is_down = call.Flag(1)});
+}
+
+/// store_slow(seconds): time that each call waits at the store.
+void StoreSlow(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->store().SetFault({.delay = call.Seconds(1)});
+}
+
+/// lose_store_replies(n)
+void LoseStoreReplies(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->store().LoseReplies(static_cast<int>(call.Number(1, 1)));
+}
+
+/// late_writes(n, seconds)
+void LateWrites(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->store().DelayWrites(static_cast<int>(call.Number(1, 1)),
+                                        call.Seconds(2, 10));
+}
+
+/// store_silent(entry, {to=, from=})
+void StoreSilent(Scenario& scenario, ScriptCall& call) {
+  if (fakes::ClusterNode* node = scenario.cluster->FindNode(call.Text(1))) {
+    node->store().SetSilentToStore(call.FlagOption("to"));
+    node->store().SetSilentFromStore(call.FlagOption("from"));
+  }
+}
+
+EngineId EngineAt(Scenario& scenario, ScriptCall& call) {
+  const EngineId id(call.Text(1));
+  if (scenario.cluster->engines().Find(id) == nullptr) {
+    call.Fail("no engine " + id.value());
+  }
+  return id;
+}
+
+void KillEngine(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->engines().Kill(EngineAt(scenario, call));
+}
+
+void ReviveEngine(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->engines().Revive(EngineAt(scenario, call));
+}
+
+/// engine_fault(engine, {to=, from=, spares_new=, down=, delay=})
+void SetEngineFault(Scenario& scenario, ScriptCall& call) {
+  EngineLinkFault fault;
+  fault.is_down = call.FlagOption("down");
+  fault.is_silent_to_engine = call.FlagOption("to");
+  fault.is_silent_from_engine = call.FlagOption("from");
+  fault.spares_new_connections = call.FlagOption("spares_new");
+  fault.delay = FromSeconds(call.NumberOption("delay", 0));
+  scenario.cluster->engines().SetFault(EngineAt(scenario, call), fault);
+}
+
+void LoseEngineReply(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->engines().LoseNextReply(EngineAt(scenario, call));
+}
+
+void MemoryOf(Scenario& scenario, ScriptCall& call) {
+  const EngineId id = EngineAt(scenario, call);
+  if (!call.has_failed()) {
+    const auto* engine = scenario.cluster->engines().Find(id);
+    call.Return(static_cast<double>(engine->HeldMemory().value()));
+  }
+}
+
+void RunningOn(Scenario& scenario, ScriptCall& call) {
+  const EngineId id = EngineAt(scenario, call);
+  if (!call.has_failed()) {
+    const EngineReport now =
+        scenario.cluster->engines().Find(id)->CurrentReport();
+    call.Return(static_cast<double>(now.running_streams));
+  }
+}
+
+/// Orders that an engine took, and the version in the last one.
+void OrdersOf(Scenario& scenario, ScriptCall& call) {
+  const EngineId id = EngineAt(scenario, call);
+  if (call.has_failed()) {
+    return;
+  }
+  const auto& orders = scenario.cluster->engines().Find(id)->counters().orders;
+  call.Return(static_cast<double>(orders.size()));
+  call.Return(orders.empty() ? std::string() : orders.back().version);
+}
+
+/// service_fault(service, {down=, loses_replies=, silent=, old_silent=,
+/// run_time=})
+void SetServiceFault(Scenario& scenario, ScriptCall& call) {
+  ServiceFault fault;
+  fault.is_down = call.FlagOption("down");
+  fault.loses_replies = call.FlagOption("loses_replies");
+  fault.is_silent = call.FlagOption("silent");
+  fault.is_silent_on_old_connections = call.FlagOption("old_silent");
+  fault.run_time = FromSeconds(call.NumberOption("run_time", 0.005));
+  scenario.cluster->services().Get(EngineId(call.Text(1))).SetFault(fault);
+}
+
+void LoseServiceReplies(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->services()
+      .Get(EngineId(call.Text(1)))
+      .LoseReplies(static_cast<int>(call.Number(2, 1)));
+}
+
+void ListDown(Scenario& scenario, ScriptCall& call) {
+  scenario.cluster->list().SetDown(call.Flag(1));
+}
+
+void StoreCalls(Scenario& scenario, ScriptCall& call) {
+  const auto& counters = scenario.cluster->store().counters();
+  call.Return(
+      static_cast<double>(counters.reads + counters.writes + counters.watches));
+}
+
+}  // namespace
+
+std::vector<Verb> PlatformVerbs() {
+  return {{"store_down", StoreDown},
+          {"store_slow", StoreSlow},
+          {"lose_store_replies", LoseStoreReplies},
+          {"late_writes", LateWrites},
+          {"store_silent", StoreSilent},
+          {"kill_engine", KillEngine},
+          {"revive_engine", ReviveEngine},
+          {"engine_fault", SetEngineFault},
+          {"lose_engine_reply", LoseEngineReply},
+          {"memory_of", MemoryOf},
+          {"running_on", RunningOn},
+          {"orders_of", OrdersOf},
+          {"service_fault", SetServiceFault},
+          {"lose_service_replies", LoseServiceReplies},
+          {"list_down", ListDown},
+          {"store_calls", StoreCalls}};
+}
+
+}  // namespace kingcupdrift::scenarios
--- /dev/null
+++ b/tests/scenarios/scenario_harness.cc
@@ -0,0 +1,79 @@
+#include <cstdlib>
+
+#include "tests/scenarios/scenario.h"
+
+namespace kingcupdrift::scenarios {
+namespace {
+
+/// Closes the interpreter at the end of a scope.
+struct StateCloser {
+  void operator()(lua_State* state) const { lua_close(state); }
+};
+using StateHandle = std::unique_ptr<lua_State, StateCloser>;
+
+/// Runs the verb in the first upvalue on the scenario in the second. Lua's
+/// errors jump over destructors, so that all C++ objects end before.
+int CallVerb(lua_State* state) {
+  int results = 0;
+  bool has_failed = false;
+  {
+    const auto* verb =
+        static_cast<const Verb*>(lua_touserdata(state, lua_upvalueindex(1)));
+    auto* scenario =
+        static_cast<Scenario*>(lua_touserdata(state, lua_upvalueindex(2)));
+    ScriptCall call(state);
+    if (scenario->cluster == nullptr && verb->name != "cluster") {
+      call.Fail("the script must call cluster first");
+    } else {
+      verb->run(*scenario, call);
+    }
+    results = call.results();
+    has_failed = call.has_failed();
+    if (has_failed) {
+      luaL_where(state, 1);
+      lua_pushlstring(state, call.failure().data(), call.failure().size());
+      lua_concat(state, 2);
+    }
+  }
+  return has_failed ? lua_error(state) : results;
+}
+
+std::vector<Verb> AllVerbs() {
+  std::vector<Verb> all;
+  for (const auto& verbs :
+       {ClusterVerbs(), CallVerbs(), PlatformVerbs(), CheckVerbs()}) {
+    all.insert(all.end(), verbs.begin(), verbs.end());
+  }
+  return all;
+}
+
+}  // namespace
+
+std::string RunScript(const std::string& path, std::uint64_t seed) {
+  Scenario scenario;
+  scenario.seed = seed;
+  const std::vector<Verb> verbs = AllVerbs();
+  const StateHandle state(luaL_newstate());
+  luaL_openlibs(state.get());
+  for (const Verb& verb : verbs) {
+    // Verbs never change through the pointer that Lua keeps.
+    lua_pushlightuserdata(state.get(), const_cast<Verb*>(&verb));
+    lua_pushlightuserdata(state.get(), &scenario);
+    lua_pushcclosure(state.get(), CallVerb, 2);
+    lua_setglobal(state.get(), std::string(verb.name).c_str());
+  }
+  lua_pushinteger(state.get(), static_cast<lua_Integer>(seed));
+  lua_setglobal(state.get(), "seed");
+  if (luaL_dofile(state.get(), path.c_str()) != LUA_OK) {
+    const char* message = lua_tostring(state.get(), -1);
+    return message == nullptr ? "unknown failure" : message;
+  }
+  return "";
+}
+
+std::uint64_t SeedFromEnvironment(std::uint64_t absent) {
+  const char* text = std::getenv("KINGCUPDRIFT_SEED");
+  return text == nullptr ? absent : std::strtoull(text, nullptr, 10);
+}
+
+}  // namespace kingcupdrift::scenarios
--- /dev/null
+++ b/tests/scenarios/script_call.h
@@ -0,0 +1,52 @@
+#ifndef TESTS_SCENARIOS_SCRIPT_CALL_H_
+#define TESTS_SCENARIOS_SCRIPT_CALL_H_
+
+#include <lua.hpp>
+
+#include <functional>
+#include <string>
+
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift::scenarios {
+
+/// Arguments and results of one verb that a script calls. Arguments count from
+/// 1; options are fields of a table in the last argument.
+class ScriptCall {
+ public:
+  explicit ScriptCall(lua_State* state) : state_(state) {}
+
+  std::string Text(int index);
+  double Number(int index, double absent = 0);
+  /// A number of seconds.
+  Duration Seconds(int index, double absent = 0);
+  bool Flag(int index);
+  /// The function at `index`, called without arguments.
+  std::function<bool()> Condition(int index);
+
+  double NumberOption(const char* name, double absent);
+  std::string TextOption(const char* name, const char* absent = "");
+  bool FlagOption(const char* name, bool absent = false);
+
+  void Return(const std::string& text);
+  void Return(double number);
+  void Return(bool flag);
+
+  /// Ends the script with a message once the verb returns.
+  void Fail(std::string message);
+  bool has_failed() const { return !failure_.empty(); }
+  const std::string& failure() const { return failure_; }
+  int results() const { return results_; }
+  lua_State* state() const { return state_; }
+
+ private:
+  bool PushOption(const char* name);
+
+  lua_State* state_;
+  std::string failure_;
+  int results_ = 0;
+};
+
+}  // namespace kingcupdrift::scenarios
+
+#endif  // TESTS_SCENARIOS_SCRIPT_CALL_H_
--- /dev/null
+++ b/tests/scenarios/store_comes_back.lua
@@ -0,0 +1,12 @@
+-- Store overload: when the store comes back after an outage, the entries do not
+-- storm it.
+cluster{}
+store_down(true)
+advance(60)
+local before = store_calls()
+store_down(false)
+advance(2)
+local calls = store_calls() - before
+expect(calls < 200, calls .. " calls in 2 s")
+advance(30)
+expect_all()
--- /dev/null
+++ b/tests/scenarios/whole_slow_reader.lua
@@ -0,0 +1,12 @@
+-- The whole answer, a slow reader: the stream waits and then goes on.
+cluster{}
+submit("a", "q", {output = 100})
+wait_tokens("q", 5)
+set_unsent("q", 100000000)
+advance(10)
+set_unsent("q", 0)
+caller_drained("q")
+wait_ended("q")
+expect_outcome("q", "completed")
+advance(30)
+expect_all()
