--- a/src/kingcupdrift/net/engine_http_client.cc
+++ b/src/kingcupdrift/net/engine_http_client.cc
@@ -27,10 +27,11 @@
 
 class EngineHttpClient : public EngineClient {
  public:
-  EngineHttpClient(HttpClient& http,
+  EngineHttpClient(HttpClient& data,
+                   HttpClient& control,
                    Clock& clock,
                    const EngineClientSettings& settings)
-      : http_(http), clock_(clock), settings_(settings) {}
+      : data_(data), control_(control), clock_(clock), settings_(settings) {}
 
   std::unique_ptr<EngineStream> Start(const EngineAddress& engine,
                                       const EngineStreamRequest& request,
@@ -49,7 +50,7 @@
     out.body = *std::move(body);
     out.needs_new_connection = true;
     out.time_limit = request.time_left;
-    return CreateEngineStream(http_, std::move(out), request.attempt, observer);
+    return CreateEngineStream(data_, std::move(out), request.attempt, observer);
   }
 
   std::unique_ptr<EngineStream> Resume(
@@ -63,7 +64,7 @@
     out.headers = {{"Accept", "text/event-stream"}};
     out.needs_new_connection = true;
     out.time_limit = Duration::zero();
-    return CreateEngineStream(http_, std::move(out), attempt, observer);
+    return CreateEngineStream(data_, std::move(out), attempt, observer);
   }
 
   void Cancel(const EngineAddress& engine,
@@ -77,7 +78,7 @@
                DoneCallback callback) override {
     HttpRequest out = Control(engine, "PUT", ReservationTarget(request.id));
     out.body = MakeBody(ToJson(MakeReservationBody(request)));
-    SendForSuccess(std::move(out), std::move(callback));
+    SendForSuccess(control_, std::move(out), std::move(callback));
   }
 
   void Release(const EngineAddress& engine,
@@ -120,7 +121,7 @@
     out.headers.emplace_back("X-Fencing-Number",
                              std::to_string(order.fence.value()));
     out.body = MakeBody(ToJson(MakeOrderBody(order)));
-    SendForSuccess(std::move(out), std::move(callback));
+    SendForSuccess(control_, std::move(out), std::move(callback));
   }
 
   void ExportCache(const EngineAddress& engine,
@@ -129,7 +130,7 @@
     HttpRequest out = Control(engine, "POST", "/v1/cache/export");
     out.time_limit = settings_.transfer_limit;
     out.body = MakeBody(ToJson(MakeExportBody(block_digests)));
-    SendForAnswer(std::move(out), std::move(callback));
+    SendForAnswer(data_, std::move(out), std::move(callback));
   }
 
   void ImportCache(const EngineAddress& engine,
@@ -140,7 +141,7 @@
     out.time_limit = settings_.transfer_limit;
     out.headers = MakeImportHeaders(holding);
     out.body = WholeSlice(std::move(exported));
-    SendForSuccess(std::move(out), std::move(callback));
+    SendForSuccess(data_, std::move(out), std::move(callback));
   }
 
  private:
@@ -155,23 +156,27 @@
     return out;
   }
 
-  void SendForAnswer(HttpRequest request, CacheTransferCallback callback) {
-    http_.Send(std::move(request), [callback = std::move(callback)](
-                                       Result<HttpResponse> response) {
-      if (!response) {
-        callback(tl::unexpected(response.error()));
-        return;
-      }
-      if (!IsSuccess(response->status)) {
-        callback(tl::unexpected(EngineStatusError(response->status)));
-        return;
-      }
-      callback(std::move(response->body));
-    });
-  }
-
-  void SendForSuccess(HttpRequest request, DoneCallback callback) {
-    SendForAnswer(std::move(request),
+  void SendForAnswer(HttpClient& http,
+                     HttpRequest request,
+                     CacheTransferCallback callback) {
+    http.Send(std::move(request),
+              [callback = std::move(callback)](Result<HttpResponse> response) {
+                if (!response) {
+                  callback(tl::unexpected(response.error()));
+                  return;
+                }
+                if (!IsSuccess(response->status)) {
+                  callback(tl::unexpected(EngineStatusError(response->status)));
+                  return;
+                }
+                callback(std::move(response->body));
+              });
+  }
+
+  void SendForSuccess(HttpClient& http,
+                      HttpRequest request,
+                      DoneCallback callback) {
+    SendForAnswer(http, std::move(request),
                   [callback = std::move(callback)](Result<SharedBytes> answer) {
                     callback(answer.map([](const SharedBytes&) {}));
                   });
@@ -179,7 +184,7 @@
 
   void SendForJson(HttpRequest request,
                    std::function<void(Result<json>)> callback) {
-    SendForAnswer(std::move(request),
+    SendForAnswer(control_, std::move(request),
                   [callback = std::move(callback)](Result<SharedBytes> answer) {
                     callback(answer.map([](const SharedBytes& bytes) {
                       return ParseJson(*bytes);
@@ -191,7 +196,7 @@
   void Remove(const EngineAddress& engine,
               const std::string& target,
               DoneCallback callback) {
-    SendForSuccess(Control(engine, "DELETE", target),
+    SendForSuccess(control_, Control(engine, "DELETE", target),
                    [callback = std::move(callback)](Result<void> done) {
                      const bool is_gone =
                          !done && done.error().code == ErrorCode::kNotFound;
@@ -199,7 +204,8 @@
                    });
   }
 
-  HttpClient& http_;
+  HttpClient& data_;
+  HttpClient& control_;
   Clock& clock_;
   EngineClientSettings settings_;
 };
@@ -207,10 +213,11 @@
 }  // namespace
 
 std::unique_ptr<EngineClient> CreateEngineHttpClient(
-    HttpClient& http,
+    HttpClient& data,
+    HttpClient& control,
     Clock& clock,
     const EngineClientSettings& settings) {
-  return std::make_unique<EngineHttpClient>(http, clock, settings);
+  return std::make_unique<EngineHttpClient>(data, control, clock, settings);
 }
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/engine_http_client.h
+++ b/src/kingcupdrift/net/engine_http_client.h
@@ -16,9 +16,11 @@
 };
 
 /// Engines over HTTP: completions as server-sent events and a control API, both
-/// described in docs/API.md.
+/// described in docs/API.md. Streams and cache transfers use `data`, all other
+/// calls `control`, so that their traffic is counted apart.
 std::unique_ptr<EngineClient> CreateEngineHttpClient(
-    HttpClient& http,
+    HttpClient& data,
+    HttpClient& control,
     Clock& clock,
     const EngineClientSettings& settings);
 
--- a/src/kingcupdrift/net/service_http_client.cc
+++ b/src/kingcupdrift/net/service_http_client.cc
@@ -2,42 +2,15 @@
 #include <utility>
 
 #include "kingcupdrift/net/engine_http_client.h"
+#include "kingcupdrift/net/internal/hop_headers.h"
 
 namespace kingcupdrift {
 namespace {
 
-// Headers that belong to one connection, or that the client sets itself.
-bool IsHopByHop(const std::string& name) {
-  static constexpr std::string_view kNames[] = {"Connection",
-                                                "Keep-Alive",
-                                                "Proxy-Authenticate",
-                                                "Proxy-Authorization",
-                                                "TE",
-                                                "Trailer",
-                                                "Transfer-Encoding",
-                                                "Upgrade",
-                                                "Host",
-                                                "Content-Length",
-                                                "Expect",
-                                                "Authorization",
-                                                "X-Request-Id",
-                                                "X-Attempt-Id",
-                                                "Idempotency-Key",
-                                                "Request-Timeout",
-                                                "X-Time-Left-Ms"};
-  const HeaderList single = {{name, "x"}};
-  for (const std::string_view it : kNames) {
-    if (!FindHeader(single, it).empty()) {
-      return true;
-    }
-  }
-  return false;
-}
-
 HeaderList MakeServiceHeaders(const ServiceRequest& request) {
   HeaderList headers;
   for (const auto& header : request.headers) {
-    if (!IsHopByHop(header.first)) {
+    if (!IsHopHeader(header.first) && !IsReplacedHeader(header.first)) {
       headers.push_back(header);
     }
   }
