Trust an engine's own prefill rate over one learned from outside

Other entries' work, unseen until the next report, made engines that looked idle look slow. The rate is learned only from engines that report none.

--- a/bench/policy/measurement.cc
+++ b/bench/policy/measurement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <functional>
 #include <thread>
 
@@ -17,7 +18,7 @@
   }
   std::sort(values.begin(), values.end());
   const double rank = share * static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(rank + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(rank))];
 }
 
 using RunResults = std::vector<LoadRunResult>;
@@ -135,6 +136,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(options.threads);
   for (int i = 0; i < options.threads; ++i) {
     threads.emplace_back(work);
   }
@@ -142,6 +144,7 @@
     thread.join();
   }
   std::vector<CaseSummary> summaries;
+  summaries.reserve(results.size());
   for (const RunResults& runs : results) {
     summaries.push_back(SummarizeCase(runs, capacity));
   }
--- a/src/kingcupdrift/routing/internal/engine_state.h
+++ b/src/kingcupdrift/routing/internal/engine_state.h
@@ -57,6 +57,8 @@
   double TotalMemory() const;
   /// Prefill speed, tokens a second.
   double PrefillRate() const;
+  /// The engine reports its own prefill speed, which needs no learning.
+  bool ReportsRate() const { return report_.prefill_rate > 0; }
   bool HasRate() const { return prefill_rate_ > 0; }
   /// Seconds of one engine step, the least time between tokens.
   double StepSeconds() const;
--- a/src/kingcupdrift/routing/internal/service_pool_attempts.cc
+++ b/src/kingcupdrift/routing/internal/service_pool_attempts.cc
@@ -83,7 +83,8 @@
         static_cast<double>(actual.count()) /
             static_cast<double>(attempt.predicted_first_token.count()));
   }
-  if (attempt.was_idle && attempt.memory.size() == 1) {
+  if (attempt.was_idle && attempt.memory.size() == 1 &&
+      !engines_[attempt.slot]->ReportsRate()) {
     engines_[attempt.slot]->ObservePrefill(attempt.uncached, actual);
   }
 }
--- a/tests/fakes/load_entry.cc
+++ b/tests/fakes/load_entry.cc
@@ -54,7 +54,7 @@
   bool is_admitted = false;
 };
 
-LoadEntry::LoadEntry(RouterSettings settings,
+LoadEntry::LoadEntry(const RouterSettings& settings,
                      const SiteConfig& config,
                      LoadFleet& fleet,
                      Clock& clock,
--- a/tests/fakes/load_entry.h
+++ b/tests/fakes/load_entry.h
@@ -39,7 +39,7 @@
  public:
   using OnOutcome = std::function<void(const LoadOutcome&)>;
 
-  LoadEntry(RouterSettings settings,
+  LoadEntry(const RouterSettings& settings,
             const SiteConfig& config,
             LoadFleet& fleet,
             Clock& clock,
