--- /dev/null
+++ b/tests/routing/faults_test.cc
@@ -0,0 +1,129 @@
+#include "kingcupdrift/routing/routing.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <set>
+
+#include "tests/fakes/manual_clock.h"
+#include "tests/routing/routing_harness.h"
+
+namespace kingcupdrift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("Retries stay within a share of the first tries [routing]") {
+  RetryBudget budget(0.1);
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnFirstTry();
+    retries += budget.TakeRetry() ? 1 : 0;
+  }
+  CHECK(retries >= 100);
+  CHECK(retries <= 100 + static_cast<int>(RetryBudget::kMaxSaved));
+}
+
+TEST_CASE(
+    "A quiet service does not save up retries without bound "
+    "[routing]") {
+  RetryBudget budget(1);
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnFirstTry();
+  }
+  int retries = 0;
+  while (budget.TakeRetry()) {
+    ++retries;
+  }
+  CHECK(retries <= static_cast<int>(RetryBudget::kMaxSaved));
+}
+
+TEST_CASE("Retry delays grow, differ, and stay bounded [routing]") {
+  SeededRandom random(3);
+  std::set<Duration> seen;
+  for (int retry = 1; retry < 60; ++retry) {
+    const Duration delay = RetryDelay(retry, random);
+    CHECK(delay > Duration::zero());
+    CHECK(delay <= kMaxRetryDelay + Duration(1));
+    seen.insert(delay);
+  }
+  CHECK(seen.size() > 50);
+  CHECK(RetryDelay(1, random) <= kMinRetryDelay + Duration(1));
+}
+
+std::set<EngineId> EngineSet(int n) {
+  std::set<EngineId> engines;
+  for (int i = 0; i < n; ++i) {
+    engines.insert(RoutingHarness::Engine(i));
+  }
+  return engines;
+}
+
+void Fail(OutlierEjector& ejector, const EngineId& engine) {
+  for (int i = 0; i < OutlierEjector::kFaultsToEject; ++i) {
+    ejector.OnFault(engine);
+  }
+}
+
+TEST_CASE("Ejection never takes more than the allowed share [routing]") {
+  fakes::ManualClock clock;
+  OutlierEjector ejector(clock, 0.3);
+  ejector.SetEngines(EngineSet(10));
+  for (int i = 0; i < 10; ++i) {
+    Fail(ejector, RoutingHarness::Engine(i));
+  }
+  CHECK(ejector.EjectedCount() == 3);
+}
+
+TEST_CASE(
+    "An ejected engine returns, and stays out longer when it fails again "
+    "[routing]") {
+  fakes::ManualClock clock;
+  OutlierEjector ejector(clock, 0.5);
+  ejector.SetEngines(EngineSet(4));
+  const EngineId engine = RoutingHarness::Engine(0);
+  Fail(ejector, engine);
+  CHECK(ejector.IsEjected(engine));
+  clock.Advance(OutlierEjector::kMinEjection);
+  CHECK_FALSE(ejector.IsEjected(engine));
+  ejector.OnFault(engine);
+  CHECK(ejector.IsEjected(engine));
+  clock.Advance(OutlierEjector::kMinEjection);
+  CHECK(ejector.IsEjected(engine));
+  clock.Advance(OutlierEjector::kMinEjection);
+  CHECK_FALSE(ejector.IsEjected(engine));
+  ejector.OnSuccess(engine);
+  ejector.OnFault(engine);
+  CHECK_FALSE(ejector.IsEjected(engine));
+}
+
+TEST_CASE("Faults that alternate with successes do not eject [routing]") {
+  fakes::ManualClock clock;
+  OutlierEjector ejector(clock, 0.5);
+  ejector.SetEngines(EngineSet(4));
+  for (int i = 0; i < 20; ++i) {
+    ejector.OnFault(RoutingHarness::Engine(0));
+    ejector.OnSuccess(RoutingHarness::Engine(0));
+  }
+  CHECK_FALSE(ejector.HasEjected());
+}
+
+TEST_CASE(
+    "Only idempotent short calls are hedged, after the usual time "
+    "[routing]") {
+  HedgePolicy hedge;
+  CHECK_FALSE(hedge.DelayFor(true, TokenCount(1'000)));
+  for (int i = 1; i <= 100; ++i) {
+    hedge.OnAnswered(milliseconds(i));
+  }
+  CHECK_FALSE(hedge.DelayFor(false, TokenCount(1'000)));
+  CHECK_FALSE(hedge.DelayFor(true, TokenCount(50'000)));
+  const auto delay = hedge.DelayFor(true, TokenCount(1'000));
+  REQUIRE(delay);
+  CHECK(*delay >= milliseconds(90));
+  CHECK(*delay <= milliseconds(96));
+}
+
+}  // namespace
+}  // namespace kingcupdrift
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -150,6 +150,49 @@
         ErrorCode::kOverloaded);
 }
 
+TEST_CASE(
+    "Notes of other entries count until a report covers them "
+    "[routing]") {
+  RoutingHarness harness(1);
+  harness.ReportAll(RoutingHarness::Idle());
+  harness.Dispatch(harness.Request(1'000), 0);
+  const std::vector<DispatchNote> own = harness.router.TakeDispatchNotes();
+  REQUIRE(own.size() == 1);
+  CHECK(own.front().prefill == TokenCount(1'000));
+  CHECK(harness.router.TakeDispatchNotes().empty());
+
+  DispatchNote note = own.front();
+  note.attempt = AttemptId("of another entry");
+  note.prefill = TokenCount(50'000);
+  harness.router.OnDispatchNotes({note});
+  harness.router.OnDispatchNotes({note});
+  CHECK(harness.router.Load(ServiceId("lm")).waiting_prefill ==
+        TokenCount(51'000));
+  EngineReport report = RoutingHarness::Idle();
+  report.sequence = 1;
+  report.counted_attempts = {note.attempt};
+  report.waiting_prefill_tokens = TokenCount(40'000);
+  harness.ReportAll(report);
+  harness.router.OnDispatchNotes({note});
+  CHECK(harness.router.Load(ServiceId("lm")).waiting_prefill ==
+        TokenCount(41'000));
+}
+
+TEST_CASE("A note that no report ever covers is dropped [routing]") {
+  RoutingHarness harness(1);
+  harness.ReportAll(RoutingHarness::Idle());
+  DispatchNote note;
+  note.engine = RoutingHarness::Engine(0);
+  note.attempt = AttemptId("of a dead entry");
+  note.prefill = TokenCount(50'000);
+  harness.router.OnDispatchNotes({note});
+  harness.clock.Advance(seconds(1));
+  EngineReport report = RoutingHarness::Idle();
+  report.sequence = 1;
+  harness.ReportAll(report);
+  CHECK(harness.router.Load(ServiceId("lm")).waiting_prefill == TokenCount(0));
+}
+
 TEST_CASE("What cannot end before its deadline is not sent [routing]") {
   RoutingHarness harness(2);
   harness.ReportAll(RoutingHarness::Idle());
