--- a/bench/policy/measurement.cc
+++ b/bench/policy/measurement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <functional>
 #include <thread>
 
@@ -11,13 +12,16 @@
 using fakes::LoadBandResult;
 using fakes::LoadRunResult;
 
+/// Time between the notes of dispatches that entries send each other.
+constexpr Duration kNotes = std::chrono::milliseconds(50);
+
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) {
     return 0;
   }
   std::sort(values.begin(), values.end());
   const double rank = share * static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(rank + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(rank))];
 }
 
 using RunResults = std::vector<LoadRunResult>;
@@ -99,6 +103,8 @@
   options.inflicted_delay_weight = policy.inflicted_delay_weight;
   options.offered_rate = offered_rate;
   options.seed = seed;
+  if (getenv("NOTES"))
+    options.note_interval = std::chrono::milliseconds(atoi(getenv("NOTES")));
   return options;
 }
 
@@ -106,8 +112,10 @@
 
 std::vector<PolicyCase> AllPolicyCases() {
   return {
-      {"cost, Esmaltario", RoutingPolicyKind::kCost, false, 2, 1},
-      {"cost, Bedfinder", RoutingPolicyKind::kCost, false, 1, 2},
+      {"cost, Esmaltario", RoutingPolicyKind::kCost, false, 2, 1, kNotes},
+      {"cost, Bedfinder", RoutingPolicyKind::kCost, false, 1, 2, kNotes},
+      {"cost without notes, Esmaltario", RoutingPolicyKind::kCost, false, 2, 1},
+      {"cost without notes, Bedfinder", RoutingPolicyKind::kCost, false, 1, 2},
       {"random", RoutingPolicyKind::kRandom},
       {"least in flight", RoutingPolicyKind::kLeastInFlight},
       {"split", RoutingPolicyKind::kSplit},
@@ -135,6 +143,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(options.threads);
   for (int i = 0; i < options.threads; ++i) {
     threads.emplace_back(work);
   }
@@ -142,6 +151,7 @@
     thread.join();
   }
   std::vector<CaseSummary> summaries;
+  summaries.reserve(results.size());
   for (const RunResults& runs : results) {
     summaries.push_back(SummarizeCase(runs, capacity));
   }
