--- a/tests/idempotency/journal_test.cc
+++ b/tests/idempotency/journal_test.cc
@@ -60,7 +60,8 @@
   int refused = 0;
   for (std::size_t n = 0; n < 4; ++n) {
     harness.journal(n).Begin(
-        harness.Request(key, fmt::format("a{}", n)), [&](BeginResult result) {
+        harness.Request(key, fmt::format("a{}", n)),
+        [&](const BeginResult& result) {
           started += result.status == BeginStatus::kStarted ? 1 : 0;
           refused += result.status == BeginStatus::kInProgress ? 1 : 0;
         });
@@ -78,7 +79,7 @@
   for (const char* attempt : {"a", "b"}) {
     harness.journal(0).Begin(
         harness.Request(key, attempt),
-        [&](BeginResult result) { statuses.push_back(result.status); });
+        [&](const BeginResult& result) { statuses.push_back(result.status); });
   }
   harness.clock.AdvanceUntil([&] { return statuses.size() == 2; }, seconds(5));
   CHECK(statuses == std::vector<BeginStatus>{BeginStatus::kStarted,
@@ -275,7 +276,8 @@
   for (int n = 0; n < 100; ++n) {
     const IdempotencyKey key = harness.Key(fmt::format("order{}", n));
     harness.journal(0).Begin(
-        harness.Request(key, fmt::format("a{}", n)), [&](BeginResult result) {
+        harness.Request(key, fmt::format("a{}", n)),
+        [&](const BeginResult& result) {
           started += result.status == BeginStatus::kStarted ? 1 : 0;
         });
   }
