--- /dev/null
+++ b/tests/engines/engines_harness.h
@@ -0,0 +1,44 @@
+#ifndef TESTS_ENGINES_ENGINES_HARNESS_H_
+#define TESTS_ENGINES_ENGINES_HARNESS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/engines/engines.h"
+#include "tests/fakes/engine_fleet.h"
+#include "tests/fakes/fake_engine_client.h"
+#include "tests/fakes/manual_clock.h"
+
+namespace kingcupdrift {
+
+constexpr std::int64_t kEngineMemory = 1000;
+
+/// Engines e0, e1, ... of 1000 tokens, and a paused clock.
+class EnginesHarness {
+ public:
+  explicit EnginesHarness(int engines, bool is_fencing_enforced = false);
+
+  std::vector<EngineAddress> Addresses() const;
+  /// `tokens` on each of the engines named.
+  std::vector<GroupMember> Members(const std::vector<int>& engines,
+                                   std::int64_t tokens) const;
+  fakes::EngineModel& model(int engine);
+  EngineId Id(int engine) const;
+  /// Tokens held on all engines.
+  std::int64_t Held();
+
+  fakes::ManualClock clock;
+  SeededRandom random;
+  fakes::EngineFleet fleet;
+
+ private:
+  int engines_;
+};
+
+/// A client of the fleet that stands for one entry.
+fakes::FakeEngineClientOptions OwnedBy(const std::string& instance);
+
+}  // namespace kingcupdrift
+
+#endif  // TESTS_ENGINES_ENGINES_HARNESS_H_
--- /dev/null
+++ b/tests/engines/lease_test.cc
@@ -0,0 +1,232 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/engines/engines_harness.h"
+#include "tests/fakes/fake_store.h"
+#include "tests/fakes/freezable_clock.h"
+
+namespace kingcupdrift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kLeaseKey = "placement/lease";
+
+SiteConfig OneService(int engines, const std::string& version) {
+  SiteConfig config;
+  ServiceConfig service;
+  service.id = ServiceId("horno-modelo");
+  service.model = "horno";
+  service.version = version;
+  config.services[service.id] = service;
+  for (int n = 0; n < engines; ++n) {
+    EngineConfig engine;
+    engine.id = EngineId(fmt::format("e{}", n));
+    engine.service = service.id;
+    config.engines[engine.id] = engine;
+  }
+  return config;
+}
+
+/// One entry that may place models. Its process can be frozen.
+struct Placing {
+  Placing(EnginesHarness& harness,
+          fakes::StoreModel& model,
+          const std::string& instance,
+          std::uint64_t seed)
+      : clock(harness.clock),
+        random(seed),
+        store({}, model, clock),
+        client(OwnedBy(instance), harness.fleet, clock),
+        lease(clock, random, store, kLeaseKey, InstanceId(instance)),
+        controller(clock, client, lease) {}
+
+  void Start(const SiteConfig& config) {
+    controller.SetConfig(config);
+    controller.Start();
+    lease.Start([](bool) {});
+  }
+
+  fakes::FreezableClock clock;
+  SeededRandom random;
+  fakes::FakeStore store;
+  fakes::FakeEngineClient client;
+  LeaseKeeper lease;
+  PlacementController controller;
+};
+
+TEST_CASE(
+    "One entry holds the lease and brings engines to their state "
+    "[engines]") {
+  EnginesHarness harness(3);
+  fakes::StoreModel store(harness.clock);
+  Placing first(harness, store, "i1", 1);
+  Placing second(harness, store, "i2", 2);
+  const SiteConfig config = OneService(3, "v1");
+  first.Start(config);
+  second.Start(config);
+  harness.clock.Advance(seconds(30));
+  CHECK(first.lease.IsHeld() != second.lease.IsHeld());
+  CHECK(first.controller.settled() + second.controller.settled() == 3);
+  for (int n = 0; n < 3; ++n) {
+    CHECK(harness.model(n).counters().orders.back().version == "v1");
+  }
+  Placing& holder = first.lease.IsHeld() ? first : second;
+  holder.controller.SetConfig(OneService(3, "v2"));
+  harness.clock.Advance(seconds(3));
+  CHECK(harness.model(0).counters().orders.back().version == "v2");
+}
+
+TEST_CASE(
+    "A holder that is frozen past its lease sends nothing afterwards "
+    "[engines]") {
+  for (const bool is_enforced : {true, false}) {
+    CAPTURE(is_enforced);
+    EnginesHarness harness(2, is_enforced);
+    fakes::StoreModel store(harness.clock);
+    Placing first(harness, store, "i1", 1);
+    first.Start(OneService(2, "v1"));
+    harness.clock.Advance(seconds(20));
+    REQUIRE(first.lease.IsHeld());
+    const FencingNumber old_fence = first.lease.fence();
+    first.clock.Freeze();
+    Placing second(harness, store, "i2", 2);
+    second.Start(OneService(2, "v2"));
+    REQUIRE(harness.clock.AdvanceUntil(
+        [&] { return second.controller.settled() == 2; }, seconds(120)));
+    CHECK(second.lease.fence() > old_fence);
+    first.clock.Thaw();
+    harness.clock.Advance(seconds(5));
+    CHECK(!first.lease.IsHeld());
+    for (int n = 0; n < 2; ++n) {
+      CHECK(harness.model(n).counters().orders.back().version == "v2");
+    }
+  }
+}
+
+TEST_CASE(
+    "An old order that arrives late is refused or repaired "
+    "[engines]") {
+  for (const bool is_enforced : {true, false}) {
+    CAPTURE(is_enforced);
+    EnginesHarness harness(1, is_enforced);
+    fakes::StoreModel store(harness.clock);
+    Placing entry(harness, store, "i1", 1);
+    entry.Start(OneService(1, "v2"));
+    REQUIRE(harness.clock.AdvanceUntil(
+        [&] { return entry.controller.settled() == 1; }, seconds(60)));
+    PlacementOrder late;
+    late.fence = FencingNumber(0);
+    late.model = "horno";
+    late.version = "v1";
+    CHECK(harness.model(0).Order(late).has_value() == !is_enforced);
+    harness.clock.Advance(seconds(65));
+    CHECK(harness.model(0).counters().orders.back().version == "v2");
+  }
+}
+
+TEST_CASE(
+    "The lease is lost in an outage before the store can end it "
+    "[engines]") {
+  EnginesHarness harness(1);
+  fakes::StoreModel store(harness.clock);
+  Placing entry(harness, store, "i1", 1);
+  entry.Start(OneService(1, "v1"));
+  harness.clock.Advance(seconds(20));
+  REQUIRE(entry.lease.IsHeld());
+  store.SetFault({.is_down = true});
+  harness.clock.Advance(LeaseLimits().time_to_live);
+  CHECK(!entry.lease.IsHeld());
+  CHECK(entry.lease.fence() == FencingNumber(0));
+  store.SetFault({});
+  CHECK(harness.clock.AdvanceUntil([&] { return entry.lease.IsHeld(); },
+                                   seconds(60)));
+}
+
+TEST_CASE(
+    "A lost reply or a late write while acquiring makes no second "
+    "holder [engines]") {
+  for (const bool is_late : {true, false}) {
+    CAPTURE(is_late);
+    EnginesHarness harness(1);
+    fakes::StoreModel store(harness.clock);
+    Placing first(harness, store, "i1", 1);
+    Placing second(harness, store, "i2", 2);
+    const auto has_granted = [&] { return store.counters().writes >= 1; };
+    first.Start(OneService(1, "v1"));
+    REQUIRE(harness.clock.AdvanceUntil(has_granted, seconds(10)));
+    if (is_late) {
+      store.DelayWrites(1, seconds(6));
+    } else {
+      store.LoseReplies(1);
+    }
+    second.Start(OneService(1, "v1"));
+    for (int n = 0; n < 1200; ++n) {
+      harness.clock.Advance(milliseconds(100));
+      CHECK(!(first.lease.IsHeld() && second.lease.IsHeld()));
+    }
+    CHECK((first.lease.IsHeld() || second.lease.IsHeld()));
+  }
+}
+
+TEST_CASE("Random pauses and faults never make two holders [engines]") {
+  constexpr std::uint64_t kSeeds = 100;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    SeededRandom random(seed);
+    EnginesHarness harness(2);
+    fakes::StoreModel store(harness.clock);
+    std::vector<std::unique_ptr<Placing>> entries;
+    for (int n = 0; n < 3; ++n) {
+      entries.push_back(std::make_unique<Placing>(
+          harness, store, fmt::format("i{}", n), seed * 10 + n));
+      entries.back()->Start(OneService(2, "v1"));
+    }
+    for (int n = 0; n < 120; ++n) {
+      Placing& entry = *entries[random.Below(3)];
+      switch (random.Below(8)) {
+        case 0:
+          entry.clock.Freeze();
+          break;
+        case 1:
+        case 2:
+          entry.clock.Thaw();
+          break;
+        case 3:
+          store.LoseReplies(1);
+          break;
+        case 4:
+          store.DelayWrites(1, milliseconds(random.Below(10000)));
+          break;
+        case 5:
+          store.SetFault({.is_down = random.Below(3) == 0});
+          break;
+        default:
+          break;
+      }
+      harness.clock.Advance(milliseconds(random.Below(4000)));
+      int holders = 0;
+      for (const auto& it : entries) {
+        holders += it->lease.IsHeld() ? 1 : 0;
+      }
+      CHECK(holders <= 1);
+    }
+    store.SetFault({});
+    for (const auto& it : entries) {
+      it->clock.Thaw();
+    }
+    const auto has_holder = [&] {
+      return entries[0]->lease.IsHeld() || entries[1]->lease.IsHeld() ||
+             entries[2]->lease.IsHeld();
+    };
+    CHECK(harness.clock.AdvanceUntil(has_holder, seconds(120)));
+  }
+}
+
+}  // namespace
+}  // namespace kingcupdrift
