--- a/tests/engines/engines_harness.cc
+++ b/tests/engines/engines_harness.cc
@@ -19,6 +19,7 @@
 
 std::vector<EngineAddress> EnginesHarness::Addresses() const {
   std::vector<EngineAddress> addresses;
+  addresses.reserve(engines_);
   for (int n = 0; n < engines_; ++n) {
     addresses.push_back(EngineAddress{Id(n), Endpoint()});
   }
@@ -29,6 +30,7 @@
     const std::vector<int>& engines,
     std::int64_t tokens) const {
   std::vector<GroupMember> members;
+  members.reserve(engines.size());
   for (const int n : engines) {
     members.push_back(
         GroupMember{EngineAddress{Id(n), Endpoint()}, TokenCount(tokens)});
