Walk at random over failures and check every promise

Scripts show what their author thought of. A seeded walk takes 40 steps of calls and failures (death, pause, stop, outage, slow store, lost replies, late writes, silence, cuts, approvals), heals, waits, and checks all promises.

--- a/tests/scenarios/platform_verbs_harness.cc
+++ b/tests/scenarios/platform_verbs_harness.cc
@@ -42,7 +42,7 @@
 }
 
 EngineId EngineAt(Scenario& scenario, ScriptCall& call) {
-  const EngineId id(call.Text(1));
+  EngineId id(call.Text(1));
   if (scenario.cluster->engines().Find(id) == nullptr) {
     call.Fail("no engine " + id.value());
   }
--- /dev/null
+++ b/tests/scenarios/random_walk.h
@@ -0,0 +1,68 @@
+#ifndef TESTS_SCENARIOS_RANDOM_WALK_H_
+#define TESTS_SCENARIOS_RANDOM_WALK_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "tests/fakes/cluster.h"
+
+namespace kingcupdrift::scenarios {
+
+/// A seeded walk of calls and failures over one cluster, followed by a time
+/// without failures in which everything must settle.
+class RandomWalk {
+ public:
+  explicit RandomWalk(std::uint64_t seed);
+
+  /// Returns the promises that were broken, as text.
+  std::vector<std::string> Run();
+  /// The steps taken, one a line.
+  const std::string& log() const { return log_; }
+
+ private:
+  struct Step;
+
+  static const std::vector<Step>& Steps();
+  void Note(const std::string& text);
+  std::string AnyEntry();
+  EngineId AnyEngine();
+  std::string AnyCall();
+
+  void Submit();
+  void SubmitLarge();
+  void Order();
+  void RepeatOrder();
+  void Resume();
+  void Leave();
+  void KillEntry();
+  void FreezeEntry();
+  void DrainEntry();
+  void StartEntries();
+  void CutPeers();
+  void KillEngine();
+  void FaultEngine();
+  void LoseEngineReply();
+  void StoreDown();
+  void StoreSlow();
+  void LoseStoreReplies();
+  void DelayStoreWrites();
+  void SilenceStore();
+  void FaultService();
+  void Approve();
+  void HealAll();
+  /// Ends every failure and waits until all calls have ended and the sweepers
+  /// had their time.
+  void Settle();
+
+  SeededRandom random_;
+  fakes::Cluster cluster_;
+  std::string log_;
+  int calls_ = 0;
+  int keys_ = 0;
+};
+
+}  // namespace kingcupdrift::scenarios
+
+#endif  // TESTS_SCENARIOS_RANDOM_WALK_H_
--- /dev/null
+++ b/tests/scenarios/random_walk_harness.cc
@@ -0,0 +1,310 @@
+#include <fmt/format.h>
+
+#include <chrono>
+
+#include "tests/fakes/cluster_invariants.h"
+#include "tests/fakes/cluster_names.h"
+#include "tests/scenarios/random_walk.h"
+
+namespace kingcupdrift::scenarios {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr int kSteps = 40;
+constexpr std::uint64_t kMaxPauseMs = 3000;
+/// Longer than any call's limit, the sweepers' interval and the margin behind
+/// an expiry.
+constexpr Duration kSettleTime = minutes(4);
+constexpr Duration kCallLimit = seconds(60);
+constexpr Duration kOrderLimit = seconds(15);
+
+fakes::ClusterOptions Options(std::uint64_t seed) {
+  fakes::ClusterOptions options;
+  options.seed = seed;
+  options.is_fencing_enforced = seed % 2 == 0;
+  options.prefill_rate = 100'000;
+  return options;
+}
+
+}  // namespace
+
+/// One kind of step and how often it is taken.
+struct RandomWalk::Step {
+  int weight;
+  void (RandomWalk::*run)();
+};
+
+const std::vector<RandomWalk::Step>& RandomWalk::Steps() {
+  static const std::vector<Step> steps = {{10, &RandomWalk::Submit},
+                                          {2, &RandomWalk::SubmitLarge},
+                                          {8, &RandomWalk::Order},
+                                          {6, &RandomWalk::RepeatOrder},
+                                          {4, &RandomWalk::Resume},
+                                          {1, &RandomWalk::Leave},
+                                          {2, &RandomWalk::KillEntry},
+                                          {2, &RandomWalk::FreezeEntry},
+                                          {1, &RandomWalk::DrainEntry},
+                                          {3, &RandomWalk::StartEntries},
+                                          {1, &RandomWalk::CutPeers},
+                                          {2, &RandomWalk::KillEngine},
+                                          {3, &RandomWalk::FaultEngine},
+                                          {2, &RandomWalk::LoseEngineReply},
+                                          {2, &RandomWalk::StoreDown},
+                                          {2, &RandomWalk::StoreSlow},
+                                          {3, &RandomWalk::LoseStoreReplies},
+                                          {2, &RandomWalk::DelayStoreWrites},
+                                          {1, &RandomWalk::SilenceStore},
+                                          {3, &RandomWalk::FaultService},
+                                          {2, &RandomWalk::Approve},
+                                          {6, &RandomWalk::HealAll}};
+  return steps;
+}
+
+RandomWalk::RandomWalk(std::uint64_t seed)
+    : random_(seed), cluster_(Options(seed)) {}
+
+std::vector<std::string> RandomWalk::Run() {
+  if (!cluster_.Start()) {
+    return {"the entries did not become ready"};
+  }
+  int total = 0;
+  for (const Step& step : Steps()) {
+    total += step.weight;
+  }
+  for (int i = 0; i < kSteps; ++i) {
+    auto draw =
+        static_cast<int>(random_.Below(static_cast<std::uint64_t>(total)));
+    for (const Step& step : Steps()) {
+      draw -= step.weight;
+      if (draw < 0) {
+        (this->*step.run)();
+        break;
+      }
+    }
+    cluster_.Advance(milliseconds(random_.Below(kMaxPauseMs)));
+  }
+  Settle();
+  return CheckAll(cluster_);
+}
+
+void RandomWalk::Note(const std::string& text) {
+  const auto now = std::chrono::duration_cast<milliseconds>(
+      cluster_.clock().Now().time_since_epoch());
+  log_ += fmt::format("{} ms: {}\n", now.count(), text);
+}
+
+std::string RandomWalk::AnyEntry() {
+  return fakes::EntryName(static_cast<int>(
+      random_.Below(static_cast<std::uint64_t>(cluster_.options().entries))));
+}
+
+EngineId RandomWalk::AnyEngine() {
+  return fakes::EngineName(static_cast<int>(
+      random_.Below(static_cast<std::uint64_t>(cluster_.options().engines))));
+}
+
+std::string RandomWalk::AnyCall() {
+  return calls_ == 0
+             ? ""
+             : fmt::format("call{}",
+                           random_.Below(static_cast<std::uint64_t>(calls_)));
+}
+
+void RandomWalk::Submit() {
+  const std::string entry = AnyEntry();
+  const std::string name = fmt::format("call{}", calls_++);
+  fakes::CompletionSpec spec;
+  spec.prompt_tokens = 50 + static_cast<std::int64_t>(random_.Below(5000));
+  spec.output_tokens = 1 + static_cast<std::int64_t>(random_.Below(200));
+  spec.limit = kCallLimit;
+  Note(fmt::format("submit {} at {}", name, entry));
+  cluster_.Submit(entry, name, spec);
+}
+
+void RandomWalk::SubmitLarge() {
+  const std::string entry = AnyEntry();
+  const std::string name = fmt::format("call{}", calls_++);
+  fakes::CompletionSpec spec;
+  spec.prompt_tokens = 500'000;
+  spec.output_tokens = 10;
+  spec.limit = kCallLimit;
+  Note(fmt::format("submit large {} at {}", name, entry));
+  cluster_.Submit(entry, name, spec);
+}
+
+void RandomWalk::Order() {
+  const std::string entry = AnyEntry();
+  const std::string name = fmt::format("call{}", calls_++);
+  const std::string key = fmt::format("key{}", keys_++);
+  Note(fmt::format("order {} at {} with {}", name, entry, key));
+  cluster_.Order(entry, name, key, kOrderLimit);
+}
+
+void RandomWalk::RepeatOrder() {
+  if (keys_ == 0) {
+    return;
+  }
+  const std::string entry = AnyEntry();
+  const std::string name = fmt::format("call{}", calls_++);
+  const std::string key =
+      fmt::format("key{}", random_.Below(static_cast<std::uint64_t>(keys_)));
+  Note(fmt::format("order {} at {} again with {}", name, entry, key));
+  cluster_.Order(entry, name, key, kOrderLimit);
+}
+
+void RandomWalk::Resume() {
+  const std::string earlier = AnyCall();
+  const fakes::ClusterCall* call = cluster_.FindCall(earlier);
+  if (call == nullptr || call->is_order() || !call->record->start ||
+      call->outcome() != "broken") {
+    return;
+  }
+  const std::string entry = AnyEntry();
+  const std::string name = fmt::format("call{}", calls_++);
+  Note(fmt::format("resume {} as {} at {}", earlier, name, entry));
+  cluster_.Resume(entry, name, earlier);
+}
+
+void RandomWalk::Leave() {
+  const std::string name = AnyCall();
+  Note("caller leaves " + name);
+  cluster_.Leave(name);
+}
+
+void RandomWalk::KillEntry() {
+  const std::string entry = AnyEntry();
+  Note("kill " + entry);
+  cluster_.KillEntry(entry);
+}
+
+void RandomWalk::FreezeEntry() {
+  const std::string entry = AnyEntry();
+  Note("freeze " + entry);
+  cluster_.Freeze(entry);
+}
+
+void RandomWalk::DrainEntry() {
+  const std::string entry = AnyEntry();
+  Note("drain " + entry);
+  cluster_.Drain(entry);
+}
+
+void RandomWalk::StartEntries() {
+  for (int i = 0; i < cluster_.options().entries; ++i) {
+    const std::string name = fakes::EntryName(i);
+    fakes::ClusterNode* node = cluster_.FindNode(name);
+    if (node == nullptr) {
+      Note("start " + name);
+      cluster_.StartEntry(name);
+    } else if (node->clock().is_frozen()) {
+      Note("thaw " + name);
+      cluster_.Thaw(name);
+    }
+  }
+}
+
+void RandomWalk::CutPeers() {
+  fakes::ClusterNode* a = cluster_.FindNode(AnyEntry());
+  fakes::ClusterNode* b = cluster_.FindNode(AnyEntry());
+  if (a != nullptr && b != nullptr && a != b) {
+    Note("cut peers");
+    cluster_.peers().CutOneWay(a->settings().peer_endpoint,
+                               b->settings().peer_endpoint);
+  }
+}
+
+void RandomWalk::KillEngine() {
+  const EngineId id = AnyEngine();
+  Note("kill engine " + id.value());
+  cluster_.engines().Kill(id);
+}
+
+void RandomWalk::FaultEngine() {
+  const EngineId id = AnyEngine();
+  fakes::EngineLinkFault fault;
+  fault.is_silent_to_engine = random_.Below(3) == 0;
+  fault.is_silent_from_engine = random_.Below(2) == 0;
+  fault.spares_new_connections = random_.Below(2) == 0;
+  fault.delay = milliseconds(random_.Below(200));
+  Note(fmt::format("engine {} silent to {} from {} spares new {}", id.value(),
+                   fault.is_silent_to_engine, fault.is_silent_from_engine,
+                   fault.spares_new_connections));
+  cluster_.engines().SetFault(id, fault);
+}
+
+void RandomWalk::LoseEngineReply() {
+  Note("lose an engine's reply");
+  cluster_.engines().LoseNextReply(AnyEngine());
+}
+
+void RandomWalk::StoreDown() {
+  Note("store down");
+  cluster_.store().SetFault({.is_down = true});
+}
+
+void RandomWalk::StoreSlow() {
+  Note("store slow");
+  cluster_.store().SetFault({.delay = milliseconds(random_.Below(4000))});
+}
+
+void RandomWalk::LoseStoreReplies() {
+  Note("lose store replies");
+  cluster_.store().LoseReplies(1 + static_cast<int>(random_.Below(3)));
+}
+
+void RandomWalk::DelayStoreWrites() {
+  Note("late store writes");
+  cluster_.store().DelayWrites(1 + static_cast<int>(random_.Below(3)),
+                               milliseconds(random_.Below(20'000)));
+}
+
+void RandomWalk::SilenceStore() {
+  if (fakes::ClusterNode* node = cluster_.FindNode(AnyEntry())) {
+    Note("store silent to " + node->settings().instance.value());
+    node->store().SetSilentToStore(random_.Below(2) == 0);
+    node->store().SetSilentFromStore(random_.Below(2) == 0);
+  }
+}
+
+void RandomWalk::FaultService() {
+  fakes::ServiceFault fault;
+  fault.is_down = random_.Below(3) == 0;
+  fault.loses_replies = random_.Below(3) == 0;
+  fault.is_silent = random_.Below(4) == 0;
+  fault.is_silent_on_old_connections = random_.Below(3) == 0;
+  fault.run_time = milliseconds(random_.Below(3000));
+  Note(fmt::format("service down {} loses replies {} silent {}", fault.is_down,
+                   fault.loses_replies, fault.is_silent));
+  cluster_.services().Get(fakes::ServiceName(0)).SetFault(fault);
+}
+
+void RandomWalk::Approve() {
+  Note("approve");
+  cluster_.Approve(fmt::format("operator{}", random_.Below(3)));
+}
+
+void RandomWalk::HealAll() {
+  Note("heal");
+  cluster_.peers().HealAll();
+  cluster_.store().SetFault({});
+  cluster_.services().Get(fakes::ServiceName(0)).SetFault({});
+  for (int i = 0; i < cluster_.options().engines; ++i) {
+    cluster_.engines().Revive(fakes::EngineName(i));
+  }
+  for (const auto& [name, node] : cluster_.nodes()) {
+    node->store().SetSilentToStore(false);
+    node->store().SetSilentFromStore(false);
+  }
+}
+
+void RandomWalk::Settle() {
+  Note("settle");
+  HealAll();
+  StartEntries();
+  cluster_.Advance(kSettleTime);
+}
+
+}  // namespace kingcupdrift::scenarios
