Break service connections after a call ran, and run two services in walks

A trial that retried orders of unknown effect (a guard taken out) passed all scripts and walks: with one service the retry had no target, and a lost reply always met the deadline first. Lost replies now break the connection at once and walks run two services.

--- a/tests/fakes/fake_service.cc
+++ b/tests/fakes/fake_service.cc
@@ -85,15 +85,18 @@
       if (!model.fault().is_down) {
         result = model.Run(key, attempt);
       }
-      const bool is_lost = model.fault().loses_replies || model.TakeLostReply();
+      Duration delay = model.fault().run_time + kLatency;
+      if (model.TakeLostReply()) {
+        result = MakeError(ErrorCode::kUnknownEffect, "connection broke");
+        delay = kLatency;
+      }
       const auto mailbox = replies.lock();
-      if (mailbox && !is_lost) {
-        mailbox->Post(model.fault().run_time + kLatency,
-                      [is_settled, callback, result] {
-                        if (!std::exchange(*is_settled, true)) {
-                          callback(result);
-                        }
-                      });
+      if (mailbox && !model.fault().loses_replies) {
+        mailbox->Post(delay, [is_settled, callback, result] {
+          if (!std::exchange(*is_settled, true)) {
+            callback(result);
+          }
+        });
       }
     };
   }
--- a/tests/fakes/fake_service.h
+++ b/tests/fakes/fake_service.h
@@ -38,7 +38,7 @@
 
   void SetFault(ServiceFault fault) { fault_ = fault; }
   const ServiceFault& fault() const { return fault_; }
-  /// The replies to the next `n` calls are lost after running.
+  /// The connections of the next `n` calls break after running.
   void LoseReplies(int n) { replies_to_lose_ += n; }
   bool TakeLostReply();
 
--- a/tests/scenarios/random_walk_harness.cc
+++ b/tests/scenarios/random_walk_harness.cc
@@ -26,6 +26,7 @@
   options.seed = seed;
   options.is_fencing_enforced = seed % 2 == 0;
   options.prefill_rate = 100'000;
+  options.services = 2;
   return options;
 }
 
@@ -278,7 +279,11 @@
   fault.run_time = milliseconds(random_.Below(3000));
   Note(fmt::format("service down {} loses replies {} silent {}", fault.is_down,
                    fault.loses_replies, fault.is_silent));
-  cluster_.services().Get(fakes::ServiceName(0)).SetFault(fault);
+  const auto index = static_cast<int>(random_.Below(2));
+  fakes::ServiceModel& service =
+      cluster_.services().Get(fakes::ServiceName(index));
+  service.SetFault(fault);
+  service.LoseReplies(static_cast<int>(random_.Below(3)));
 }
 
 void RandomWalk::Approve() {
@@ -290,7 +295,9 @@
   Note("heal");
   cluster_.peers().HealAll();
   cluster_.store().SetFault({});
-  cluster_.services().Get(fakes::ServiceName(0)).SetFault({});
+  for (int i = 0; i < cluster_.options().services; ++i) {
+    cluster_.services().Get(fakes::ServiceName(i)).SetFault({});
+  }
   for (int i = 0; i < cluster_.options().engines; ++i) {
     cluster_.engines().Revive(fakes::EngineName(i));
   }
