Measure the entry's slopes, and check overlays in linear time

Change: the base's tokens are indexed once; twins within the overlay were already caught by the check for unique tokens.

--- /dev/null
+++ b/bench/capacity/configuration.cc
@@ -0,0 +1,97 @@
+// Size of the configuration, and the time to check and to hold it.
+
+#include <memory>
+#include <string>
+
+#include "bench/capacity/probe.h"
+#include "kingcupdrift/config/config.h"
+
+namespace kingcupdrift {
+namespace {
+
+constexpr double kPlannedWorkspaces = 2967;
+constexpr double kPlannedEngines = 934;
+constexpr int kRepeats = 5;
+const SiteId kSite("great-lakes");
+
+constexpr const char* kBase = R"(format = 1
+[sites.great-lakes]
+failure_domains = ["gl-a", "gl-b", "gl-c", "gl-d"]
+[services.lm-pool]
+kind = "model"
+model = "lm"
+)";
+
+std::string MakeOverlay(int workspaces, int engines) {
+  std::string text = "format = 1\n";
+  for (int i = 0; i < engines; ++i) {
+    text += fmt::format(
+        "[engines.engine-{:05}]\nservice = \"lm-pool\"\n"
+        "endpoint = \"10.1.{}.{}:8000\"\nfailure_domain = \"gl-{}\"\n",
+        i, i / 250, i % 250 + 1, "abcd"[i % 4]);
+  }
+  for (int i = 0; i < workspaces; ++i) {
+    const std::string name = fmt::format("workspace-{:05}", i);
+    text += fmt::format(
+        "[workspaces.{}]\ntoken_digest = \"{}\"\n"
+        "requests_per_second = 50\n",
+        name, Sha256Hex(name));
+  }
+  return text;
+}
+
+struct Figures {
+  double bytes = 0;
+  double parse_ms = 0;
+  double heap_bytes = 0;
+};
+
+Figures MeasureOverlay(int workspaces, int engines) {
+  const std::string overlay = MakeOverlay(workspaces, engines);
+  Figures figures;
+  figures.bytes = static_cast<double>(overlay.size());
+  double best = 1e9;
+  for (int i = 0; i < kRepeats; ++i) {
+    const double before = CpuSeconds();
+    const auto parsed = ParseSiteConfig(kBase, overlay, kSite);
+    best = std::min(best, CpuSeconds() - before);
+    if (!parsed) {
+      fmt::print(stderr, "the generated configuration has a fault: {}\n",
+                 parsed.error().front().key);
+    }
+  }
+  figures.parse_ms = 1000 * best;
+  const std::size_t heap_before = HeapBytes();
+  const auto kept = ParseSiteConfig(kBase, overlay, kSite);
+  figures.heap_bytes = static_cast<double>(HeapBytes() - heap_before);
+  return figures;
+}
+
+}  // namespace
+
+std::vector<Slope> MeasureConfiguration() {
+  const std::string part = "configuration of a site";
+  Slope bytes{part, "overlay", "B", "workspace", {}, kPlannedWorkspaces};
+  Slope parse{part, "time to check and merge", "ms", "workspace",
+              {},   kPlannedWorkspaces};
+  Slope heap{part, "heap in force", "B", "workspace", {}, kPlannedWorkspaces};
+  for (const int count : {10, 300, 1000, 2967}) {
+    const Figures figures = MeasureOverlay(count, 24);
+    const auto size = static_cast<double>(count);
+    bytes.samples.push_back({size, figures.bytes});
+    parse.samples.push_back({size, figures.parse_ms});
+    heap.samples.push_back({size, figures.heap_bytes});
+  }
+  Slope engine_parse{
+      part, "time to check and merge", "ms", "engine", {}, kPlannedEngines};
+  Slope engine_heap{part, "heap in force", "B", "engine", {}, kPlannedEngines};
+  for (const int count : {24, 280, 934}) {
+    const Figures figures = MeasureOverlay(10, count);
+    const auto size = static_cast<double>(count);
+    engine_parse.samples.push_back({size, figures.parse_ms});
+    engine_heap.samples.push_back({size, figures.heap_bytes});
+  }
+  return {bytes, parse, heap, engine_parse, engine_heap};
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/bench/capacity/main.cc
@@ -0,0 +1,32 @@
+// Prints the slopes from which docs/CAPACITY.md is worked out.
+
+#include <fmt/format.h>
+
+#include <cstdio>
+
+#include "bench/capacity/probe.h"
+#include "kingcupdrift/base/base.h"
+
+namespace {
+
+void Print(const std::vector<kingcupdrift::Slope>& slopes) {
+  for (const kingcupdrift::Slope& it : slopes) {
+    fmt::print("{}\n", FormatRow(it));
+  }
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main() {
+  kingcupdrift::SetLogLevel(kingcupdrift::LogLevel::kError);
+  fmt::print(
+      "| part | quantity | measured | slope | at the planned size |\n"
+      "|---|---|---|---|---|\n");
+  Print(kingcupdrift::MeasureAdmission());
+  Print(kingcupdrift::MeasureRouting());
+  Print(kingcupdrift::MeasureConfiguration());
+  Print(kingcupdrift::MeasureJournal());
+  Print(kingcupdrift::MeasureMembership());
+  return 0;
+}
--- a/src/kingcupdrift/config/internal/merge.cc
+++ b/src/kingcupdrift/config/internal/merge.cc
@@ -1,6 +1,7 @@
 #include "kingcupdrift/config/internal/merge.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -11,7 +12,13 @@
 class Merger {
  public:
   Merger(Document& merged, const SiteId& site, ConfigErrors& errors)
-      : merged_(merged), site_(site), errors_(errors) {}
+      : merged_(merged), site_(site), errors_(errors) {
+    for (const auto& [id, table] : merged.Of(Section::kWorkspaces)) {
+      if (const auto* digest = table.Find<std::string>("token_digest")) {
+        base_tokens_.emplace(*digest, id);
+      }
+    }
+  }
 
   void Apply(const Document& overlay) {
     for (const Section section : kSections) {
@@ -75,14 +82,8 @@
   }
 
   bool IsTokenOfAnother(const std::string& id, const OptionValue& value) const {
-    const ItemTables& workspaces = merged_.Of(Section::kWorkspaces);
-    return std::any_of(
-        workspaces.begin(), workspaces.end(), [&](const auto& it) {
-          const auto* digest =
-              it.second.template Find<std::string>("token_digest");
-          return it.first != id && digest != nullptr &&
-                 *digest == std::get<std::string>(value.value);
-        });
+    const auto it = base_tokens_.find(std::get<std::string>(value.value));
+    return it != base_tokens_.end() && it->second != id;
   }
 
   void AddNotAllowed(const SourcePlace& place,
@@ -96,6 +97,8 @@
   Document& merged_;
   const SiteId& site_;
   ConfigErrors& errors_;
+  /// Workspaces of the base by token digest.
+  std::map<std::string, std::string> base_tokens_;
 };
 
 }  // namespace
