Read the callers' port of listed instances

The audit asks instances on their listener for callers, which the platform's list did not give. The slice's port named callers is read; without one the endpoint keeps port 0, and nothing else changes.

--- a/src/kingcupdrift/interfaces/instance_list.h
+++ b/src/kingcupdrift/interfaces/instance_list.h
@@ -15,6 +15,9 @@
   Endpoint peer_endpoint;
   FailureDomain failure_domain;
   bool is_leaving = false;
+  /// Address of its listener for callers and operators; port 0 when the list
+  /// does not name one.
+  Endpoint caller_endpoint = {};
 };
 
 /// The platform's lagging list of instances that are live or leaving.
--- a/src/kingcupdrift/net/instance_list_client.cc
+++ b/src/kingcupdrift/net/instance_list_client.cc
@@ -16,8 +16,16 @@
 constexpr int kStatusOk = 200;
 constexpr std::int64_t kMaxPort = 65535;
 
-std::optional<std::uint16_t> ReadPort(const json& slice) {
+/// Name of the port for callers and operators.
+constexpr char kCallerPort[] = "callers";
+
+// The first port, or the one with `name`.
+std::optional<std::uint16_t> ReadPort(const json& slice,
+                                      const std::string& name) {
   for (const json& it : ListField(slice, "ports")) {
+    if (!name.empty() && TextField(it, "name") != name) {
+      continue;
+    }
     const std::int64_t port = IntegerField(it, "port");
     if (port > 0 && port <= kMaxPort) {
       return static_cast<std::uint16_t>(port);
@@ -34,7 +42,9 @@
   return FlagField(conditions, "terminating") || !is_serving;
 }
 
-std::optional<ListedInstance> ReadRow(const json& row, std::uint16_t port) {
+std::optional<ListedInstance> ReadRow(const json& row,
+                                      std::uint16_t port,
+                                      std::uint16_t caller_port) {
   const json& addresses = ListField(row, "addresses");
   ListedInstance out;
   out.id = InstanceId(TextField(ObjectField(row, "targetRef"), "name"));
@@ -42,6 +52,7 @@
     return std::nullopt;
   }
   out.peer_endpoint = {addresses.front().get<std::string>(), port};
+  out.caller_endpoint = {out.peer_endpoint.host, caller_port};
   if (!ParseEndpoint(ToString(out.peer_endpoint))) {
     return std::nullopt;
   }
@@ -58,12 +69,14 @@
   }
   std::vector<ListedInstance> instances;
   for (const json& slice : ListField(list, "items")) {
-    const auto port = ReadPort(slice);
+    const auto port = ReadPort(slice, "");
     if (!port) {
       continue;
     }
+    const std::uint16_t caller_port =
+        ReadPort(slice, kCallerPort).value_or(std::uint16_t{0});
     for (const json& row : ListField(slice, "endpoints")) {
-      if (auto instance = ReadRow(row, *port)) {
+      if (auto instance = ReadRow(row, *port, caller_port)) {
         instances.push_back(*std::move(instance));
       }
     }
