Add the commands; ask peers rarely when their chain does not connect

A follower far behind its peers asked twice a second for records that could not help it, with all documents in each answer.

--- /dev/null
+++ b/src/kingcupdrift/cli/internal/command_line.h
@@ -0,0 +1,35 @@
+#ifndef KINGCUPDRIFT_CLI_INTERNAL_COMMAND_LINE_H_
+#define KINGCUPDRIFT_CLI_INTERNAL_COMMAND_LINE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/cli/internal/flag_table.h"
+
+namespace kingcupdrift::internal {
+
+using Environment = std::map<std::string, std::string>;
+
+/// A command, its arguments, and its flags set.
+struct CommandLine {
+  Command command = Command::kHelp;
+  /// Words after the command that are not flags.
+  std::vector<std::string> arguments;
+  /// "--help" was given.
+  bool is_help_wanted = false;
+};
+
+/// Name as typed, such as "config check".
+std::string_view CommandName(Command command);
+
+/// Reads the words after the program's name and the environment, and sets the
+/// Abseil flags; a flag wins over its variable. Errors: kInvalidArgument, one
+/// line that names the flag, the value and what is allowed.
+Result<CommandLine> ParseCommandLine(const std::vector<std::string>& words,
+                                     const Environment& environment);
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CLI_INTERNAL_COMMAND_LINE_H_
--- /dev/null
+++ b/src/kingcupdrift/cli/internal/help_text.cc
@@ -0,0 +1,108 @@
+#include "kingcupdrift/cli/internal/help_text.h"
+
+#include <array>
+#include <sstream>
+
+#include "kingcupdrift/cli/internal/command_io.h"
+#include "kingcupdrift/cli/internal/command_line.h"
+
+namespace kingcupdrift::internal {
+namespace {
+
+struct CommandHelp {
+  Command command;
+  std::string_view usage;
+  std::string_view summary;
+  std::string_view exit_codes;
+};
+
+constexpr std::array<CommandHelp, 10> kHelp = {{
+    {Command::kServe, "serve FLAGS", "Runs one instance until SIGTERM.",
+     "0 stopped in good order, 2 wrong flag, 3 cannot listen, 4 requests were "
+     "still running at the drain limit"},
+    {Command::kConfigCheck, "config check --base FILE --overlay SITE=FILE,...",
+     "Checks files, without a running system.",
+     "0 valid, 1 faults, 2 wrong "
+     "flag"},
+    {Command::kConfigShow,
+     "config show --site NAME (--base FILE --overlay SITE=FILE | --store "
+     "IP:PORT)",
+     "Prints a site's merged options and where each was set.",
+     "0 shown, 1 faults, 2 wrong flag, 3 no answer"},
+    {Command::kConfigSubmit,
+     "config submit --store IP:PORT --operator NAME [--base FILE] [--overlay "
+     "SITE=FILE,...]",
+     "Stores changed documents as a proposal; the others stay as approved.",
+     "0 stored, 1 faults, 2 wrong flag, 3 no answer"},
+    {Command::kConfigApprove,
+     "config approve DIGEST --store IP:PORT --operator NAME",
+     "Puts a proposal in force.",
+     "0 approved, 1 faults, 2 wrong flag, 3 no answer, 4 another change came "
+     "first, 5 effect unknown"},
+    {Command::kConfigHistory, "config history --store IP:PORT",
+     "Lists approved generations and verifies their chain.",
+     "0 the chain holds, 1 it does not, 2 wrong flag, 3 no answer"},
+    {Command::kConfigAudit,
+     "config audit --store IP:PORT (--instance_list IP:PORT | --entries "
+     "IP:PORT,...)",
+     "Compares what every instance has in force with what was approved.",
+     "0 all the same, 1 some differ, 2 wrong flag, 3 some gave no answer"},
+    {Command::kTimeline,
+     "timeline (--instance_list IP:PORT | --entries IP:PORT,...)",
+     "Gathers the recent events of all instances in one order.",
+     "0 all answered, 2 wrong flag, 3 some gave no answer"},
+    {Command::kVersion, "version", "Prints the version.", "0"},
+    {Command::kHelp, "help [COMMAND]", "Prints help.", "0, 2 unknown command"},
+}};
+
+const CommandHelp& Find(Command command) {
+  for (const CommandHelp& it : kHelp) {
+    if (it.command == command) {
+      return it;
+    }
+  }
+  return kHelp.back();
+}
+
+}  // namespace
+
+std::string GeneralHelp() {
+  std::ostringstream out;
+  out << "Usage: kingcupdrift COMMAND [FLAGS]\n\n";
+  std::vector<std::vector<std::string>> rows;
+  for (const CommandHelp& it : kHelp) {
+    rows.push_back(
+        {"  " + std::string(CommandName(it.command)), std::string(it.summary)});
+  }
+  WriteTable(rows, out);
+  out << "\nEach flag has an environment variable; the flag wins. See "
+         "'kingcupdrift help COMMAND'.\n";
+  return out.str();
+}
+
+std::string HelpOf(Command command) {
+  const CommandHelp& help = Find(command);
+  std::ostringstream out;
+  out << "Usage: kingcupdrift " << help.usage << "\n\n"
+      << help.summary << "\n\n";
+  std::vector<std::vector<std::string>> rows = {
+      {"FLAG", "UNIT", "DEFAULT", "ENVIRONMENT VARIABLE", "MEANING"}};
+  for (const FlagSpec& it : AllFlags()) {
+    if (!IsFlagOf(it, command)) {
+      continue;
+    }
+    const std::string value = FlagDefault(it.name);
+    rows.push_back({"--" + std::string(it.name),
+                    it.unit.empty() ? "-" : std::string(it.unit),
+                    value.empty() ? "-" : value, EnvironmentName(it.name),
+                    FlagHelp(it.name)});
+  }
+  if (rows.size() > 1) {
+    WriteTable(rows, out);
+    out << '\n';
+  }
+  out << "Exit codes: " << help.exit_codes << ".\n";
+  return out.str();
+}
+
+}  // namespace kingcupdrift::internal
--- /dev/null
+++ b/src/kingcupdrift/cli/internal/help_text.h
@@ -0,0 +1,18 @@
+#ifndef KINGCUPDRIFT_CLI_INTERNAL_HELP_TEXT_H_
+#define KINGCUPDRIFT_CLI_INTERNAL_HELP_TEXT_H_
+
+#include <string>
+
+#include "kingcupdrift/cli/internal/flag_table.h"
+
+namespace kingcupdrift::internal {
+
+/// The list of commands.
+std::string GeneralHelp();
+/// What a command does, its flags with unit, default and environment variable,
+/// and its exit codes.
+std::string HelpOf(Command command);
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CLI_INTERNAL_HELP_TEXT_H_
--- /dev/null
+++ b/src/kingcupdrift/cli/internal/run_command.cc
@@ -0,0 +1,270 @@
+#include "kingcupdrift/cli/internal/run_command.h"
+
+#include <charconv>
+
+#include "kingcupdrift/cli/internal/audit_command.h"
+#include "kingcupdrift/cli/internal/command_io.h"
+#include "kingcupdrift/cli/internal/config_commands.h"
+#include "kingcupdrift/cli/internal/help_text.h"
+#include "kingcupdrift/cli/internal/offline_commands.h"
+#include "kingcupdrift/cli/internal/online_session.h"
+#include "kingcupdrift/cli/internal/serve_settings.h"
+#include "kingcupdrift/cli/internal/timeline_command.h"
+
+namespace kingcupdrift::internal {
+namespace {
+
+constexpr char kVersion[] = KINGCUPDRIFT_VERSION;
+
+/// Runs the commands that a parsed line names.
+class CommandRunner {
+ public:
+  CommandRunner(const CommandLine& line, const CommandIo& io)
+      : line_(line), io_(io) {}
+
+  ExitCode Run() {
+    switch (line_.command) {
+      case Command::kConfigCheck:
+        return Check();
+      case Command::kConfigShow:
+        return Show();
+      case Command::kConfigSubmit:
+        return Submit();
+      case Command::kConfigApprove:
+        return Approve();
+      case Command::kConfigHistory:
+        return History();
+      case Command::kConfigAudit:
+        return Audit();
+      case Command::kTimeline:
+        return Timeline();
+      case Command::kVersion:
+        return Version();
+      case Command::kServe:
+      case Command::kHelp:
+        break;
+    }
+    io_.out << GeneralHelp();
+    return ExitCode::kOk;
+  }
+
+ private:
+  ExitCode Usage(const std::string& text) {
+    io_.err << "kingcupdrift: " << text << '\n';
+    return ExitCode::kUsage;
+  }
+
+  /// Reports the first of `names` that is not set.
+  std::optional<ExitCode> Missing(std::initializer_list<const char*> names) {
+    for (const char* name : names) {
+      if (FlagText(name).empty()) {
+        return Usage(fmt::format("--{}: not set; allowed: {}, here or in {}",
+                                 name, FindFlag(name)->allowed,
+                                 EnvironmentName(name)));
+      }
+    }
+    return std::nullopt;
+  }
+
+  Result<ConfigFiles> Files() {
+    return ReadConfigFiles(FlagText("base"), FlagText("overlay"));
+  }
+
+  ExitCode Check() {
+    if (const auto missing = Missing({"base"})) {
+      return *missing;
+    }
+    const Result<ConfigFiles> files = Files();
+    if (!files) {
+      return Fail(io_, files.error(), "correct the file name.");
+    }
+    return CheckConfig(*files, io_);
+  }
+
+  ExitCode Show() {
+    if (const auto missing = Missing({"site"})) {
+      return *missing;
+    }
+    const bool has_files = !FlagText("base").empty();
+    if (has_files != FlagText("store").empty()) {
+      return Usage(
+          "--base, --store: both or none set; allowed: --base to show files, "
+          "or --store to show what is approved");
+    }
+    const SiteId site(FlagText("site"));
+    if (has_files) {
+      const Result<ConfigFiles> files = Files();
+      return files ? ShowConfig(*files, site, io_)
+                   : Fail(io_, files.error(), "correct the file name.");
+    }
+    OnlineSession session;
+    ConfigCommands commands = Commands(session);
+    const Result<ConfigFiles> approved = commands.LoadApproved();
+    return approved ? ShowConfig(*approved, site, io_)
+                    : Fail(io_, approved.error(),
+                           "check --store, or approve a first configuration.");
+  }
+
+  ExitCode Submit() {
+    if (const auto missing = Missing({"store", "operator"})) {
+      return *missing;
+    }
+    if (FlagText("base").empty() && FlagText("overlay").empty()) {
+      return Usage(
+          "--base, --overlay: none set; allowed: the files that changed");
+    }
+    const Result<ConfigFiles> files = Files();
+    if (!files) {
+      return Fail(io_, files.error(), "correct the file name.");
+    }
+    OnlineSession session;
+    return Commands(session).Submit(*files, FlagText("operator"));
+  }
+
+  ExitCode Approve() {
+    if (const auto missing = Missing({"store", "operator"})) {
+      return *missing;
+    }
+    if (line_.arguments.empty()) {
+      return Usage(
+          "DIGEST: not given; allowed: the digest that 'kingcupdrift config "
+          "submit' printed");
+    }
+    OnlineSession session;
+    return Commands(session).Approve(line_.arguments[0], FlagText("operator"));
+  }
+
+  ExitCode History() {
+    if (const auto missing = Missing({"store"})) {
+      return *missing;
+    }
+    const std::string text = FlagText("limit");
+    std::size_t limit = 0;
+    std::from_chars(text.data(), text.data() + text.size(), limit);
+    OnlineSession session;
+    return Commands(session).History(limit);
+  }
+
+  ExitCode Audit() {
+    if (const auto missing = Missing({"store", "shared_secret"})) {
+      return *missing;
+    }
+    if (const auto wrong = CheckInstanceFlags()) {
+      return *wrong;
+    }
+    OnlineSession session;
+    const auto head = Commands(session).LoadHead();
+    if (!head) {
+      return Fail(io_, head.error(), "check --store, then repeat the audit.");
+    }
+    if (!*head) {
+      return Fail(io_, {ErrorCode::kNotFound, "nothing was approved yet"},
+                  "submit and approve a first configuration.");
+    }
+    const auto instances = session.ListInstances();
+    if (!instances) {
+      return Fail(io_, instances.error(),
+                  "check --instance_list, or name the instances by --entries.");
+    }
+    return AuditCommand(session.admin(), session.loop(), session.time_limit(),
+                        io_)
+        .Run(*instances, **head);
+  }
+
+  ExitCode Timeline() {
+    if (const auto missing = Missing({"shared_secret"})) {
+      return *missing;
+    }
+    if (const auto wrong = CheckInstanceFlags()) {
+      return *wrong;
+    }
+    OnlineSession session;
+    const auto instances = session.ListInstances();
+    if (!instances) {
+      return Fail(io_, instances.error(),
+                  "check --instance_list, or name the instances by --entries.");
+    }
+    return TimelineCommand(session.admin(), session.loop(),
+                           session.time_limit(), io_)
+        .Run(*instances, {FlagText("request"), FlagText("workspace")},
+             FlagText("trace"));
+  }
+
+  std::optional<ExitCode> CheckInstanceFlags() {
+    if (!FlagText("entries").empty() || !FlagText("instance_list").empty()) {
+      return std::nullopt;
+    }
+    return Usage("--entries, --instance_list: none set; allowed: one of them");
+  }
+
+  ExitCode Version() {
+    if (io_.is_json) {
+      WriteJson({{"version", kVersion}}, io_.out);
+    } else {
+      io_.out << "kingcupdrift " << kVersion << '\n';
+    }
+    return ExitCode::kOk;
+  }
+
+  ConfigCommands Commands(OnlineSession& session) {
+    return ConfigCommands(session.store(), session.clock(), session.random(),
+                          session.loop(), session.time_limit(), io_);
+  }
+
+  const CommandLine& line_;
+  const CommandIo& io_;
+};
+
+int RunServe(const Serve& serve, std::ostream& err) {
+  const Result<EntrySettings> settings = BuildServeSettings();
+  if (!settings) {
+    err << "kingcupdrift: " << settings.error().detail << '\n';
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  SetLogLevel(ChosenLogLevel());
+  return serve(*settings);
+}
+
+int RunHelp(const CommandLine& line, std::ostream& out, std::ostream& err) {
+  if (line.command != Command::kHelp) {
+    out << HelpOf(line.command);
+    return static_cast<int>(ExitCode::kOk);
+  }
+  if (line.arguments.empty()) {
+    out << GeneralHelp();
+    return static_cast<int>(ExitCode::kOk);
+  }
+  std::vector<std::string> words = line.arguments;
+  words.emplace_back("--help");
+  const Result<CommandLine> topic = ParseCommandLine(words, {});
+  if (!topic) {
+    err << "kingcupdrift: " << topic.error().detail << '\n';
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  out << HelpOf(topic->command);
+  return static_cast<int>(ExitCode::kOk);
+}
+
+}  // namespace
+
+int RunCommand(const std::vector<std::string>& words,
+               const Environment& environment,
+               const Serve& serve,
+               std::ostream& out,
+               std::ostream& err) {
+  const Result<CommandLine> line = ParseCommandLine(words, environment);
+  if (!line) {
+    err << "kingcupdrift: " << line.error().detail << '\n';
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  if (line->is_help_wanted || line->command == Command::kHelp) {
+    return RunHelp(*line, out, err);
+  }
+  if (line->command == Command::kServe) {
+    return RunServe(serve, err);
+  }
+  const CommandIo io{out, err, FlagText("json") == "true"};
+  return static_cast<int>(CommandRunner(*line, io).Run());
+}
+
+}  // namespace kingcupdrift::internal
--- /dev/null
+++ b/src/kingcupdrift/cli/internal/run_command.h
@@ -0,0 +1,27 @@
+#ifndef KINGCUPDRIFT_CLI_INTERNAL_RUN_COMMAND_H_
+#define KINGCUPDRIFT_CLI_INTERNAL_RUN_COMMAND_H_
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/cli/cli.h"
+#include "kingcupdrift/cli/internal/command_line.h"
+#include "kingcupdrift/entry/entry_settings.h"
+
+namespace kingcupdrift::internal {
+
+/// Runs one instance; returns the process's exit code.
+using Serve = std::function<int(const EntrySettings& settings)>;
+
+/// Runs one command from the words after the program's name.
+int RunCommand(const std::vector<std::string>& words,
+               const Environment& environment,
+               const Serve& serve,
+               std::ostream& out,
+               std::ostream& err);
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CLI_INTERNAL_RUN_COMMAND_H_
--- /dev/null
+++ b/src/kingcupdrift/cli/internal/timeline_command.h
@@ -0,0 +1,66 @@
+#ifndef KINGCUPDRIFT_CLI_INTERNAL_TIMELINE_COMMAND_H_
+#define KINGCUPDRIFT_CLI_INTERNAL_TIMELINE_COMMAND_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/cli/internal/admin_client.h"
+#include "kingcupdrift/cli/internal/command_io.h"
+#include "kingcupdrift/cli/internal/command_loop.h"
+
+namespace kingcupdrift::internal {
+
+/// One event as an instance reported it.
+struct GatheredEvent {
+  std::int64_t wall_us = 0;
+  std::uint32_t logical = 0;
+  std::string instance;
+  std::string kind;
+  std::string request;
+  std::string workspace;
+  std::string engine;
+  std::string detail;
+};
+
+/// Reads JSON lines; lines that are not events are left out.
+std::vector<GatheredEvent> ParseEvents(const std::string& lines);
+/// Sorts by hybrid time, then by instance.
+void OrderEvents(std::vector<GatheredEvent>& events);
+/// Trace-event JSON: a process for each instance, a span for each request.
+Json TraceJson(const std::vector<GatheredEvent>& events);
+
+/// Which events to gather; empty fields match all.
+struct TimelineFilter {
+  std::string request;
+  std::string workspace;
+};
+
+/// `timeline`: gathers the events of all instances into one order.
+class TimelineCommand {
+ public:
+  TimelineCommand(AdminClient& admin,
+                  CommandLoop& loop,
+                  Duration time_limit,
+                  const CommandIo& io)
+      : admin_(admin), loop_(loop), time_limit_(time_limit), io_(io) {}
+
+  /// Writes to `trace_file` if it is not empty.
+  ExitCode Run(const std::vector<Endpoint>& instances,
+               const TimelineFilter& filter,
+               const std::string& trace_file);
+
+ private:
+  void Print(const std::vector<GatheredEvent>& events);
+  ExitCode WriteTrace(const std::vector<GatheredEvent>& events,
+                      const std::string& trace_file);
+
+  AdminClient& admin_;
+  CommandLoop& loop_;
+  Duration time_limit_;
+  const CommandIo& io_;
+};
+
+}  // namespace kingcupdrift::internal
+
+#endif  // KINGCUPDRIFT_CLI_INTERNAL_TIMELINE_COMMAND_H_
--- a/src/kingcupdrift/config/config_follower.cc
+++ b/src/kingcupdrift/config/config_follower.cc
@@ -59,9 +59,16 @@
 
   void Start() { watcher_.Start(); }
 
-  void OnPeerHead(Generation generation, const Endpoint& peer) {
+  void OnPeerHead(Generation generation,
+                  const std::string& digest,
+                  const Endpoint& peer) {
     if (generation > this->generation()) {
       asker_.Add(generation, peer);
+    } else if (generation == this->generation() && current_ &&
+               digest != digest_) {
+      Reject({ErrorCode::kProtocol,
+              fmt::format("{} has another generation {}", ToString(peer),
+                          generation.value())});
     }
   }
 
@@ -127,13 +134,14 @@
   }
   const ConfigHead* head = chain_.Find(generation());
   const ConfigHead* theirs = chain_.Find(request.generation);
-  if (head == nullptr) {
+  const bool is_new_peer = request.generation == Generation(0);
+  if (head == nullptr || (theirs == nullptr && !is_new_peer)) {
+    // The peer is further behind than the records here.
     return reply;
   }
   // A peer without configuration takes any record as its anchor.
-  const Generation after = request.generation == Generation(0)
-                               ? generation() - Generation(1)
-                               : request.generation;
+  const Generation after =
+      is_new_peer ? generation() - Generation(1) : request.generation;
   reply.head_records = chain_.Records(after, generation());
   const auto add = [&](const std::string& name, const std::string& digest,
                        bool is_known) {
@@ -154,8 +162,11 @@
 }
 
 void ConfigFollower::Impl::OnConfigReply(const ConfigReplyMessage& reply) {
-  if (reply.head_records.empty() ||
-      reply.head_records.size() > options_.max_records ||
+  if (reply.head_records.empty()) {
+    asker_.OnRefused();
+    return;
+  }
+  if (reply.head_records.size() > options_.max_records ||
       reply.documents.size() > kMaxSites + 1) {
     return;
   }
@@ -163,6 +174,7 @@
   for (const std::string& text : reply.head_records) {
     Result<ConfigHead> record = ParseConfigHead(text);
     if (!record) {
+      asker_.OnRefused();
       Reject(record.error());
       return;
     }
@@ -175,6 +187,7 @@
   }
   for (const ConfigHead& it : records) {
     if (Result<void> accepted = chain_.Accept(it); !accepted) {
+      asker_.OnRefused();
       Reject(accepted.error());
       return;
     }
@@ -330,9 +343,9 @@
 }
 
 void ConfigFollower::OnPeerHead(Generation generation,
-                                const std::string& /*digest*/,
+                                const std::string& digest,
                                 const Endpoint& peer) {
-  impl_->OnPeerHead(generation, peer);
+  impl_->OnPeerHead(generation, digest, peer);
 }
 
 ConfigReplyMessage ConfigFollower::OnConfigRequest(
--- a/src/kingcupdrift/config/internal/peer_asker.cc
+++ b/src/kingcupdrift/config/internal/peer_asker.cc
@@ -8,6 +8,7 @@
 PeerAsker::PeerAsker(Clock& clock, Random& random, Duration interval, Ask ask)
     : clock_(clock),
       random_(random),
+      shortest_interval_(interval),
       interval_(interval),
       ask_(std::move(ask)) {}
 
@@ -23,7 +24,15 @@
   }
 }
 
+void PeerAsker::OnRefused() {
+  if (candidates_.empty()) {
+    return;
+  }
+  interval_ = std::min(interval_ * 2, kMaxInterval);
+}
+
 void PeerAsker::OnCaughtUp(Generation own) {
+  interval_ = shortest_interval_;
   std::erase_if(candidates_,
                 [own](const Candidate& it) { return it.generation <= own; });
 }
--- a/src/kingcupdrift/config/internal/peer_asker.h
+++ b/src/kingcupdrift/config/internal/peer_asker.h
@@ -19,6 +19,8 @@
 
   /// A peer has `generation`, which is above the own one.
   void Add(Generation generation, const Endpoint& peer);
+  /// An answer was refused: asks ever more rarely until caught up.
+  void OnRefused();
   /// Forgets peers whose generation is not above `own`.
   void OnCaughtUp(Generation own);
 
@@ -28,12 +30,14 @@
     Generation generation;
   };
   static constexpr std::size_t kMaxCandidates = 8;
+  static constexpr Duration kMaxInterval = std::chrono::seconds(30);
 
   void AskLater();
   void AskOne();
 
   Clock& clock_;
   Random& random_;
+  Duration shortest_interval_;
   Duration interval_;
   Ask ask_;
   std::deque<Candidate> candidates_;
--- a/tests/config/parse_config_test.cc
+++ b/tests/config/parse_config_test.cc
@@ -272,6 +272,23 @@
   CHECK(c.services == d.services);
 }
 
+TEST_CASE("The documentation lists every option and its default [config]") {
+  const std::string page = ReadExample("docs/CONFIGURATION.md");
+  for (const internal::OptionSpec& it : internal::AllOptions()) {
+    const std::string row =
+        fmt::format("| `{}.*.{}` |", internal::SectionName(it.section), it.key);
+    const std::size_t start = page.find(row);
+    CAPTURE(row);
+    REQUIRE(start != std::string::npos);
+    const std::string line = page.substr(start, page.find('\n', start) - start);
+    const std::string value =
+        it.is_required ? "**required**" : std::string(it.default_text);
+    CHECK(line.find(value) != std::string::npos);
+    CHECK(line.find(it.unit == "duration" ? "duration" : it.unit) !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("Explaining names the place of every value [config]") {
   const auto sources = ExplainSiteConfig(
       MinimalBase(), "[services.chat]\npriority = 7\n", kSite);
