--- a/tests/fakes/load_entry.cc
+++ b/tests/fakes/load_entry.cc
@@ -54,7 +54,7 @@
   bool is_admitted = false;
 };
 
-LoadEntry::LoadEntry(RouterSettings settings,
+LoadEntry::LoadEntry(const RouterSettings& settings,
                      const SiteConfig& config,
                      LoadFleet& fleet,
                      Clock& clock,
@@ -265,12 +265,12 @@
     End(job);
     return;
   }
-  job.retry_timer = clock_.RunAfter(
-      RetryDelay(job.outcome.tries, random_), [this, id = job.id] {
-        Job& again = *jobs_.at(id);
-        Queue(again);
-        PumpSoon();
-      });
+  job.retry_timer = clock_.RunAfter(RetryDelay(job.outcome.tries, random_),
+                                    [this, id = job.id] {
+                                      Job& again = *jobs_.at(id);
+                                      Queue(again);
+                                      PumpSoon();
+                                    });
 }
 
 void LoadEntry::End(Job& job) {
