--- a/src/kingcupdrift/config/parse_config.cc
+++ b/src/kingcupdrift/config/parse_config.cc
@@ -149,6 +149,10 @@
                                   TotalBytes(documents)),
                       fmt::format("at most {}", kMaxTotalBytes)});
   }
+  if (base.Of(Section::kSites).empty()) {
+    errors.push_back({ConfigFault::kMissing, names.base, 0, "sites", "no site",
+                      "at least one table such as [sites.NAME]"});
+  }
   if (base.Of(Section::kSites).size() > kMaxSites) {
     errors.push_back({ConfigFault::kTooLarge, names.base, 0, "sites",
                       fmt::format("{} sites", base.Of(Section::kSites).size()),
--- a/src/kingcupdrift/main/main.cc
+++ b/src/kingcupdrift/main/main.cc
@@ -1,3 +1,5 @@
-int main() {
-  return 0;
+#include "kingcupdrift/cli/cli.h"
+
+int main(int argc, char** argv) {
+  return kingcupdrift::RunCommandLine(argc, argv);
 }
