Run the demo end to end

scripts/demo had waited for the command line. Run with it, it found: the store stand-in read only one of the two spellings of fields that the gateway allows (request_put, requestPut), so that no write was ever applied; and a fresh store must show a revision above 0. The list names the port for callers as well.

--- a/tests/fakes/standin/list_standin.cc
+++ b/tests/fakes/standin/list_standin.cc
@@ -13,6 +13,8 @@
   row.peer_endpoint = {request.value("ip", "127.0.0.1"),
                        request.value("port", std::uint16_t{0})};
   row.failure_domain = FailureDomain(request.value("domain", ""));
+  row.caller_endpoint = {row.peer_endpoint.host,
+                         request.value("caller_port", std::uint16_t{0})};
   row.is_leaving = request.value("leaving", false);
   return row;
 }
--- a/tests/fakes/standin/store_standin.cc
+++ b/tests/fakes/standin/store_standin.cc
@@ -12,6 +12,13 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 
+/// The gateway reads a field by its name in the protocol or in camel case.
+const char* FieldName(const Json& object,
+                      const char* name,
+                      const char* camel_case) {
+  return object.contains(camel_case) ? camel_case : name;
+}
+
 Json Failure(const std::string& message) {
   return {{"error", message}, {"message", message}};
 }
@@ -119,13 +126,18 @@
     return;
   }
   const std::string key = ReadBytes(compare[0], "key");
-  const StoreVersion expected(ReadInteger(compare[0], "mod_revision"));
+  const Json& condition = compare[0];
+  const StoreVersion expected(ReadInteger(
+      condition, FieldName(condition, "mod_revision", "modRevision")));
   Result<StoreVersion> written = MakeError(ErrorCode::kRefused, "no change");
-  if (success[0].contains("request_put")) {
-    const Json& put = success[0]["request_put"];
+  const char* put_name = FieldName(success[0], "request_put", "requestPut");
+  const char* delete_name =
+      FieldName(success[0], "request_delete_range", "requestDeleteRange");
+  if (success[0].contains(put_name)) {
+    const Json& put = success[0][put_name];
     written = model_.CompareAndSwap(key, expected, ReadBytes(put, "value"),
                                     LeaseId(ReadInteger(put, "lease")));
-  } else if (success[0].contains("request_delete_range")) {
+  } else if (success[0].contains(delete_name)) {
     written = model_.CompareAndDelete(key, expected);
   }
   const bool is_conflict =
--- a/tests/fakes/store_model.h
+++ b/tests/fakes/store_model.h
@@ -106,7 +106,8 @@
   Clock& clock_;
   DeferredCalls in_flight_;
   StoreFault fault_;
-  StoreVersion version_;
+  // A fresh store has had one revision, as etcd counts.
+  StoreVersion version_{1};
   std::map<std::string, Item> items_;
   std::map<LeaseId, Lease> leases_;
   LeaseId last_lease_;
