--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -208,6 +208,11 @@
   targets_.ApplyConfig(site_config_);
   lookup_.ApplyConfig(site_config_);
   std::vector<EngineAddress> subset = router_.Subset();
+  // Plain services have neither load reports nor holdings.
+  std::erase_if(subset, [this](const EngineAddress& engine) {
+    const ServiceId& service = site_config_.engines.at(engine.id).service;
+    return site_config_.services.at(service).kind != ServiceKind::kModel;
+  });
   sweeper_.SetEngines(subset);
   poller_.SetEngines(std::move(subset));
   placement_.SetConfig(site_config_);
--- a/tests/fakes/engine_fleet.h
+++ b/tests/fakes/engine_fleet.h
@@ -63,6 +63,10 @@
   void Connect(const EngineId& id, EngineConnection& connection);
   void Disconnect(const EngineId& id, EngineConnection& connection);
 
+  /// Control calls to targets that are no engine of the fleet.
+  std::uint64_t calls_to_unknown() const { return calls_to_unknown_; }
+  void CountCallToUnknown() { ++calls_to_unknown_; }
+
   /// Messages on their way to engines; they arrive even if the sender dies.
   DeferredCalls& in_flight() { return in_flight_; }
 
@@ -77,6 +81,7 @@
   Clock& clock_;
   std::map<EngineId, std::unique_ptr<EngineModel>> engines_;
   std::map<EngineId, Link> links_;
+  std::uint64_t calls_to_unknown_ = 0;
   DeferredCalls in_flight_;
 };
 
--- a/tests/fakes/fake_engine_client.cc
+++ b/tests/fakes/fake_engine_client.cc
@@ -108,6 +108,9 @@
   if (is_closed_) {
     return;
   }
+  if (fleet_.Find(engine) == nullptr) {
+    fleet_.CountCallToUnknown();
+  }
   const EngineLinkFault& fault = fleet_.fault(engine);
   if (fault.is_down || fleet_.Find(engine) == nullptr) {
     replies_->Post(options_.latency, [callback = std::move(callback)] {
--- a/tests/scenarios/cluster_test.cc
+++ b/tests/scenarios/cluster_test.cc
@@ -33,5 +33,12 @@
   }
 }
 
+TEST_CASE("Plain services get no calls meant for engines [cluster]") {
+  Cluster cluster({});
+  REQUIRE(cluster.Start());
+  cluster.Advance(seconds(30));
+  CHECK(cluster.engines().calls_to_unknown() == 0);
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
