--- a/bench/policy/measurement.cc
+++ b/bench/policy/measurement.cc
@@ -103,8 +103,7 @@
   options.inflicted_delay_weight = policy.inflicted_delay_weight;
   options.offered_rate = offered_rate;
   options.seed = seed;
-  if (getenv("NOTES"))
-    options.note_interval = std::chrono::milliseconds(atoi(getenv("NOTES")));
+  options.note_interval = policy.note_interval;
   return options;
 }
 
--- a/tests/routing/prefix_index_test.cc
+++ b/tests/routing/prefix_index_test.cc
@@ -65,7 +65,7 @@
   PrefixIndex index;
   const auto blocks = Blocks(1, 4000);
   index.AddPrompt(1, blocks);
-  CHECK(index.MemoryBytes() < 200 * 40 + sizeof(PrefixIndex));
+  CHECK(index.MemoryBytes() < std::size_t{200} * 40 + sizeof(PrefixIndex));
   CHECK(index.Lookup(blocks)[1] > 3700);
 }
 
