Charge the prefill step under way, and sample widely once notes arrive

Cause: priorities do not interrupt a step, yet an engine whose prefill was all behind a short prompt cost no more than an idle one; and sampling 8 of 24 often missed the idle ones.

--- a/src/kingcupdrift/routing/internal/cost_policy.cc
+++ b/src/kingcupdrift/routing/internal/cost_policy.cc
@@ -36,8 +36,10 @@
                                const ServiceConfig& service,
                                const CandidateView& view,
                                Random& random) {
+  const std::size_t wanted =
+      view.HasFreshNotes() ? kSampledWithNotes : kSampled;
   std::vector<std::size_t> sampled =
-      Sample(view.size(), std::min(kSampled, view.size()), random);
+      Sample(view.size(), std::min(wanted, view.size()), random);
   if (const std::optional<std::size_t> cached = view.BestCached()) {
     sampled.push_back(*cached);
   }
--- a/src/kingcupdrift/routing/internal/cost_policy.h
+++ b/src/kingcupdrift/routing/internal/cost_policy.h
@@ -6,11 +6,13 @@
 namespace kingcupdrift {
 
 /// Least weighted sum of the own time to first token and the delay inflicted on
-/// others, among `kSampled` random candidates and the one with the longest
-/// cached prefix.
+/// others, among some random candidates and the one with the longest cached
+/// prefix. Without notes from other entries few are sampled, so that entries do
+/// not all choose the engine that looks best in the same old report.
 class CostPolicy : public RoutingPolicy {
  public:
   static constexpr std::size_t kSampled = 8;
+  static constexpr std::size_t kSampledWithNotes = 24;
 
   std::string_view Name() const override { return "cost"; }
   std::size_t Choose(const RouteRequest& request,
--- a/src/kingcupdrift/routing/internal/service_pool.h
+++ b/src/kingcupdrift/routing/internal/service_pool.h
@@ -85,6 +85,7 @@
   std::unordered_map<EngineId, std::size_t> slots_;
   std::unordered_map<AttemptId, std::unique_ptr<OwnAttempt>> attempts_;
   std::deque<DispatchNote> notes_;
+  MonotonicTime notes_fresh_until_;
   OutlierEjector ejector_;
   PrefixIndex prefixes_;
   SizeMix mix_;
--- a/src/kingcupdrift/routing/internal/service_pool_attempts.cc
+++ b/src/kingcupdrift/routing/internal/service_pool_attempts.cc
@@ -9,6 +9,8 @@
 
 /// Prompt blocks remembered of an attempt, for the prefix index.
 constexpr std::size_t kMaxKeptBlocks = 4096;
+/// Time for which a note shows that notes arrive.
+constexpr Duration kNotesFresh = std::chrono::seconds(5);
 /// Least predicted time from which prediction errors are learned.
 constexpr Duration kMinLearnedTime = std::chrono::milliseconds(50);
 
@@ -67,6 +69,7 @@
   EngineState* engine = FindEngine(note.engine);
   if (engine != nullptr) {
     engine->AddForeign(clock_.Now(), note);
+    notes_fresh_until_ = clock_.Now() + kNotesFresh;
   }
   return engine != nullptr;
 }
--- a/src/kingcupdrift/routing/internal/service_pool_choice.cc
+++ b/src/kingcupdrift/routing/internal/service_pool_choice.cc
@@ -18,6 +18,9 @@
 constexpr double kMixWeight = 20'000;
 /// Extra wait assumed for each second without a report.
 constexpr double kDoubtFactor = 2;
+/// Wait for a step of prefill that is under way, in seconds: priorities do not
+/// interrupt a step.
+constexpr double kPrefillStepWait = 0.15;
 /// Work ahead of a request, in seconds, above which it waits at the entry.
 constexpr double kMaxEngineWaitSeconds = 20;
 
@@ -51,6 +54,10 @@
     return pool_.EstimateAt(query_, slots_[i]);
   }
 
+  bool HasFreshNotes() const override {
+    return query_.now < pool_.notes_fresh_until_;
+  }
+
   std::optional<std::size_t> BestCached() const override {
     std::optional<std::size_t> best;
     std::uint32_t depth = 0;
@@ -124,6 +131,9 @@
   if (engine.InFlight() > 0) {
     wait += engine.StepSeconds() / 2;
   }
+  if (work.tokens_ahead + work.tokens_behind > 0) {
+    wait += kPrefillStepWait;
+  }
   wait += kDoubtFactor * ToSeconds(engine.Doubt(query.now));
   const double step = engine.StepSeconds();
   const auto output =
--- a/src/kingcupdrift/routing/routing_policy.h
+++ b/src/kingcupdrift/routing/routing_policy.h
@@ -23,6 +23,8 @@
   /// this entry sent since.
   virtual std::uint32_t InFlight(std::size_t i) const = 0;
   virtual RouteEstimate Estimate(std::size_t i) const = 0;
+  /// Other entries lately told what they sent, so that estimates are current.
+  virtual bool HasFreshNotes() const = 0;
   /// Candidate with the longest cached prefix, if one is known.
   virtual std::optional<std::size_t> BestCached() const = 0;
 };
