--- /dev/null
+++ b/src/kingcupdrift/net/internal/server_exchange.h
@@ -0,0 +1,22 @@
+#ifndef KINGCUPDRIFT_NET_INTERNAL_SERVER_EXCHANGE_H_
+#define KINGCUPDRIFT_NET_INTERNAL_SERVER_EXCHANGE_H_
+
+#include <memory>
+
+#include "kingcupdrift/net/event_loop.h"
+#include "kingcupdrift/net/http_server.h"
+
+struct evhttp_request;
+
+namespace kingcupdrift {
+
+/// Wraps a request that evhttp has read whole. `unfinished` counts it until the
+/// connection has taken the answer or is gone.
+std::unique_ptr<HttpExchange> CreateServerExchange(
+    EventLoop& loop,
+    evhttp_request* request,
+    std::shared_ptr<std::size_t> unfinished);
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_INTERNAL_SERVER_EXCHANGE_H_
--- a/tests/fakes/engine_model.h
+++ b/tests/fakes/engine_model.h
@@ -25,7 +25,7 @@
   /// Capacity of the prefix cache, apart from `memory`.
   TokenCount cache{400'000};
   /// Prompt tokens for each block digest.
-  TokenCount block{256};
+  TokenCount block{1024};
   /// Prefill speed, tokens a second.
   double prefill_rate = 20'000;
   /// Prompt tokens processed in one step.
@@ -81,6 +81,8 @@
 struct EngineModelCounters {
   /// Starts accepted, for each attempt.
   std::map<AttemptId, int> runs;
+  /// The same for each request.
+  std::map<RequestId, int> runs_of_requests;
   std::uint64_t finished = 0;
   std::uint64_t cancelled = 0;
   std::uint64_t expired = 0;
