Exchange notes of recent dispatches between entries

Cause: an engine's report lags, and what the other entries sent since is not in it; the router could take notes of it, but nobody sent them.

Weighed: sending notes only to the entries that share an engine would reach the planned size, but costs a message for almost every dispatch and peer there.

--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -114,6 +114,7 @@
               dependencies.engines,
               router_,
               [this] { dispatcher_.Wake(); }),
+      notes_(dependencies.clock, membership_, router_),
       requests_(dependencies.clock),
       context_{settings_,
                dependencies.clock,
@@ -160,6 +161,7 @@
   config_.Start();
   sweeper_.Start();
   placement_.Start();
+  notes_.Start();
   lease_.Start([this](bool is_held) {
     events_.Add(is_held ? EventKind::kLeaseTaken : EventKind::kLeaseLost,
                 kPlacementLeaseKey);
@@ -178,6 +180,9 @@
   } else if (const auto* reply =
                  std::get_if<ConfigReplyMessage>(&message.payload)) {
     config_.OnConfigReply(*reply);
+  } else if (const auto* notes =
+                 std::get_if<DispatchNotesMessage>(&message.payload)) {
+    router_.OnDispatchNotes(notes->notes);
   } else {
     membership_.OnMessage(message);
   }
--- a/src/kingcupdrift/entry/internal/entry_impl.h
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -9,6 +9,7 @@
 #include "kingcupdrift/entry/internal/dispatcher.h"
 #include "kingcupdrift/entry/internal/engine_poller.h"
 #include "kingcupdrift/entry/internal/entry_context.h"
+#include "kingcupdrift/entry/internal/note_exchange.h"
 #include "kingcupdrift/entry/internal/request.h"
 #include "kingcupdrift/entry/internal/request_table.h"
 #include "kingcupdrift/entry/internal/service_policies.h"
@@ -87,6 +88,7 @@
   ServiceTargets targets_;
   Dispatcher dispatcher_;
   EnginePoller poller_;
+  NoteExchange notes_;
   CallerLookup lookup_;
   /// The configuration that `lookup_` refers to.
   SiteConfig site_config_;
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -76,11 +76,29 @@
   std::vector<ConfigDocument> documents;
 };
 
+/// Tells other entries what was just sent to an engine, which its next report
+/// will show only after a lag.
+struct DispatchNote {
+  EngineId engine;
+  AttemptId attempt;
+  /// Prompt tokens expected to need prefill.
+  TokenCount prefill;
+  /// Memory taken at the engine.
+  TokenCount memory;
+  int engine_priority = 0;
+};
+
+/// Recent dispatches of the sender.
+struct DispatchNotesMessage {
+  std::vector<DispatchNote> notes;
+};
+
 using PeerPayload = std::variant<GossipMessage,
                                  ProbeMessage,
                                  ProbeReplyMessage,
                                  ConfigRequestMessage,
-                                 ConfigReplyMessage>;
+                                 ConfigReplyMessage,
+                                 DispatchNotesMessage>;
 
 /// A message between entries.
 struct PeerMessage {
--- a/src/kingcupdrift/net/internal/peer_codec.cc
+++ b/src/kingcupdrift/net/internal/peer_codec.cc
@@ -85,6 +85,20 @@
         builder.CreateVector(documents));
     return {wire::Payload::ConfigReply, reply.Union()};
   }
+
+  EncodedPayload operator()(const DispatchNotesMessage& message) const {
+    std::vector<Offset<wire::DispatchNote>> notes;
+    for (const DispatchNote& it : message.notes) {
+      const auto engine = builder.CreateString(it.engine.value());
+      const auto attempt = builder.CreateString(it.attempt.value());
+      notes.push_back(
+          wire::CreateDispatchNote(builder, engine, attempt, it.prefill.value(),
+                                   it.memory.value(), it.engine_priority));
+    }
+    const auto table =
+        wire::CreateDispatchNotes(builder, builder.CreateVector(notes));
+    return {wire::Payload::DispatchNotes, table.Union()};
+  }
 };
 
 std::string FinishFrame(FlatBufferBuilder& builder,
@@ -183,6 +197,26 @@
   return message;
 }
 
+Result<PeerPayload> DecodeNotes(const wire::DispatchNotes& table) {
+  DispatchNotesMessage message;
+  if (!IsWithin(table.notes(), kMaxPeerNotes)) {
+    return BadFrame("a list in the frame is too long");
+  }
+  if (table.notes() == nullptr) {
+    return message;
+  }
+  for (const wire::DispatchNote* const it : *table.notes()) {
+    if (it->prefill() < 0 || it->memory() < 0) {
+      return BadFrame("a dispatch note is not valid");
+    }
+    message.notes.push_back({EngineId(it->engine()->str()),
+                             AttemptId(it->attempt()->str()),
+                             TokenCount(it->prefill()),
+                             TokenCount(it->memory()), it->engine_priority()});
+  }
+  return message;
+}
+
 Result<PeerPayload> DecodePayload(const wire::Frame& frame) {
   switch (frame.payload_type()) {
     case wire::Payload::Gossip:
@@ -202,6 +236,8 @@
           Generation(frame.payload_as_ConfigRequest()->generation())};
     case wire::Payload::ConfigReply:
       return DecodeConfigReply(*frame.payload_as_ConfigReply());
+    case wire::Payload::DispatchNotes:
+      return DecodeNotes(*frame.payload_as_DispatchNotes());
     default:
       break;
   }
--- a/src/kingcupdrift/net/internal/peer_codec.h
+++ b/src/kingcupdrift/net/internal/peer_codec.h
@@ -12,6 +12,7 @@
 inline constexpr std::size_t kMaxPeerMembers = 4096;
 inline constexpr std::size_t kMaxPeerUsageRows = 16384;
 inline constexpr std::size_t kMaxPeerDocuments = 4096;
+inline constexpr std::size_t kMaxPeerNotes = 1024;
 
 /// A message as a FlatBuffers frame of peer.fbs.
 std::string EncodePeerMessage(const PeerMessage& message);
--- a/src/kingcupdrift/routing/route.h
+++ b/src/kingcupdrift/routing/route.h
@@ -57,18 +57,6 @@
   bool is_group() const { return members.size() > 1; }
 };
 
-/// Tells other entries what was just sent to an engine, which its next report
-/// will show only after a lag.
-struct DispatchNote {
-  EngineId engine;
-  AttemptId attempt;
-  /// Prompt tokens expected to need prefill.
-  TokenCount prefill;
-  /// Memory taken at the engine.
-  TokenCount memory;
-  int engine_priority = 0;
-};
-
 }  // namespace kingcupdrift
 
 #endif  // KINGCUPDRIFT_ROUTING_ROUTE_H_
