--- a/src/kingcupdrift/net/internal/store_protocol.cc
+++ b/src/kingcupdrift/net/internal/store_protocol.cc
@@ -76,12 +76,13 @@
   if (lease.value() != 0) {
     put["lease"] = Decimal(lease.value());
   }
-  return MakeTransaction(key, expected, {{"requestPut", std::move(put)}});
+  return MakeTransaction(key, expected, {{"request_put", std::move(put)}});
 }
 
 json MakeDeleteRequest(const std::string& key, StoreVersion expected) {
   return MakeTransaction(
-      key, expected, {{"requestDeleteRange", {{"key", EncodeStoreText(key)}}}});
+      key, expected,
+      {{"request_delete_range", {{"key", EncodeStoreText(key)}}}});
 }
 
 json MakeWatchRequest(const std::string& prefix, StoreVersion first) {
