--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -57,8 +57,9 @@
   Incarnation incarnation;
 };
 
-/// Asks a peer for the approved configuration of a generation.
+/// Asks a peer for the approved configuration that follows the asker's.
 struct ConfigRequestMessage {
+  /// In force at the asker; 0 for none.
   Generation generation;
 };
 
