--- a/tests/fakes/standin/list_standin.cc
+++ b/tests/fakes/standin/list_standin.cc
@@ -12,6 +12,8 @@
   row.id = InstanceId(request.value("id", ""));
   row.peer_endpoint = {request.value("ip", "127.0.0.1"),
                        request.value("port", std::uint16_t{0})};
+  row.caller_endpoint = {row.peer_endpoint.host,
+                         request.value("caller_port", std::uint16_t{0})};
   row.failure_domain = FailureDomain(request.value("domain", ""));
   row.is_leaving = request.value("leaving", false);
   return row;
@@ -28,12 +30,15 @@
         {"terminating", row.is_leaving}}},
       {"targetRef", {{"kind", "Pod"}, {"name", row.id.value()}}},
       {"zone", row.failure_domain.value()}};
-  return {
-      {"metadata", {{"name", "kingcupdrift-" + row.id.value()}}},
-      {"addressType", "IPv4"},
-      {"endpoints", Json::array({endpoint})},
-      {"ports",
-       Json::array({{{"name", "peer"}, {"port", row.peer_endpoint.port}}})}};
+  Json ports =
+      Json::array({{{"name", "peer"}, {"port", row.peer_endpoint.port}}});
+  if (row.caller_endpoint.port != 0) {
+    ports.push_back({{"name", "callers"}, {"port", row.caller_endpoint.port}});
+  }
+  return {{"metadata", {{"name", "kingcupdrift-" + row.id.value()}}},
+          {"addressType", "IPv4"},
+          {"endpoints", Json::array({endpoint})},
+          {"ports", std::move(ports)}};
 }
 
 }  // namespace
