--- a/src/kingcupdrift/cli/internal/help_text.cc
+++ b/src/kingcupdrift/cli/internal/help_text.cc
@@ -70,6 +70,7 @@
   std::ostringstream out;
   out << "Usage: kingcupdrift COMMAND [FLAGS]\n\n";
   std::vector<std::vector<std::string>> rows;
+  rows.reserve(kHelp.size());
   for (const CommandHelp& it : kHelp) {
     rows.push_back(
         {"  " + std::string(CommandName(it.command)), std::string(it.summary)});
--- a/src/kingcupdrift/cli/internal/online_session.cc
+++ b/src/kingcupdrift/cli/internal/online_session.cc
@@ -37,10 +37,10 @@
     request.target = target;
     request.headers.emplace_back("Authorization", "Bearer " + secret_);
     request.time_limit = limit_;
-    http_.Send(std::move(request),
-               [callback = std::move(callback)](Result<HttpResponse> response) {
-                 callback(BodyOf(response));
-               });
+    http_.Send(std::move(request), [callback = std::move(callback)](
+                                       const Result<HttpResponse>& response) {
+      callback(BodyOf(response));
+    });
   }
 
  private:
--- a/src/kingcupdrift/config/internal/approve_operation.cc
+++ b/src/kingcupdrift/config/internal/approve_operation.cc
@@ -152,7 +152,7 @@
   if (code != ErrorCode::kUnavailable && code != ErrorCode::kOverloaded) {
     is_write_pending_ = true;
   }
-  store_.Delay([this](Result<void> waited) {
+  store_.Delay(written.error(), [this](Result<void> waited) {
     if (!waited) {
       Fail(std::move(waited.error()));
       return;
--- a/src/kingcupdrift/config/internal/retrying_store.cc
+++ b/src/kingcupdrift/config/internal/retrying_store.cc
@@ -40,18 +40,21 @@
                           callback(std::move(result));
                           return;
                         }
-                        RetryGet(key, callback);
+                        RetryGet(key, result.error(), callback);
                       }));
 }
 
-void RetryingStore::RetryGet(const std::string& key, GetCallback callback) {
-  Delay([this, key, callback = std::move(callback)](Result<void> waited) {
-    if (!waited) {
-      callback(tl::unexpected(waited.error()));
-      return;
-    }
-    Get(key, callback);
-  });
+void RetryingStore::RetryGet(const std::string& key,
+                             const Error& fault,
+                             GetCallback callback) {
+  Delay(fault,
+        [this, key, callback = std::move(callback)](Result<void> waited) {
+          if (!waited) {
+            callback(tl::unexpected(waited.error()));
+            return;
+          }
+          Get(key, callback);
+        });
 }
 
 void RetryingStore::PutOnce(const std::string& key,
@@ -64,7 +67,7 @@
         if (written || written.error().code == ErrorCode::kConflict) {
           callback({});
         } else if (IsTransient(written.error().code)) {
-          RetryPut(key, value, callback);
+          RetryPut(key, value, written.error(), callback);
         } else {
           callback(tl::unexpected(written.error()));
         }
@@ -73,15 +76,16 @@
 
 void RetryingStore::RetryPut(const std::string& key,
                              const std::string& value,
+                             const Error& fault,
                              DoneCallback callback) {
-  Delay(
-      [this, key, value, callback = std::move(callback)](Result<void> waited) {
-        if (!waited) {
-          callback(std::move(waited));
-          return;
-        }
-        PutOnce(key, value, callback);
-      });
+  Delay(fault, [this, key, value,
+                callback = std::move(callback)](Result<void> waited) {
+    if (!waited) {
+      callback(std::move(waited));
+      return;
+    }
+    PutOnce(key, value, callback);
+  });
 }
 
 void RetryingStore::CompareAndSwap(const std::string& key,
@@ -92,28 +96,25 @@
                         Guard<Result<StoreVersion>>(std::move(callback)));
 }
 
-void RetryingStore::Delay(const DoneCallback& callback) {
+void RetryingStore::Delay(const Error& fault, const DoneCallback& callback) {
   const auto jitter =
       Duration(static_cast<Duration::rep>(random_.Below(backoff_.count())));
   const Duration delay = backoff_ / 2 + jitter;
   backoff_ = std::min(backoff_ * 2, kMaxBackoff);
   const bool is_late = clock_.Now() + delay > deadline_;
-  const std::uint64_t id = next_timer_++;
-  timers_[id] = clock_.RunAfter(
-      is_late ? deadline_ - clock_.Now() : delay,
-      [this, id, is_late, callback]() { EndDelay(id, is_late, callback); });
-}
-
-void RetryingStore::EndDelay(std::uint64_t timer,
-                             bool is_late,
-                             const DoneCallback& callback) {
-  timers_.erase(timer);
+  Result<void> result;
   if (is_late) {
-    callback(MakeError(ErrorCode::kDeadlineExceeded,
-                       "the store gave no answer within the limit"));
-    return;
+    result = MakeError(ErrorCode::kDeadlineExceeded,
+                       fmt::format("the store did not serve the call in time; "
+                                   "last fault: {}: {}",
+                                   ErrorCodeName(fault.code), fault.detail));
   }
-  callback({});
+  const std::uint64_t id = next_timer_++;
+  timers_[id] = clock_.RunAfter(is_late ? deadline_ - clock_.Now() : delay,
+                                [this, id, result, callback] {
+                                  timers_.erase(id);
+                                  callback(result);
+                                });
 }
 
 bool IsTransient(ErrorCode code) {
--- a/src/kingcupdrift/config/internal/retrying_store.h
+++ b/src/kingcupdrift/config/internal/retrying_store.h
@@ -37,18 +37,18 @@
                       StoreVersion expected,
                       const std::string& value,
                       WriteCallback callback);
-  /// Calls back after the next delay, or with kDeadlineExceeded when that would
-  /// pass the deadline.
-  void Delay(const DoneCallback& callback);
+  /// Calls back after the next delay, or with kDeadlineExceeded, naming
+  /// `fault`, when that would pass the deadline.
+  void Delay(const Error& fault, const DoneCallback& callback);
 
  private:
-  void RetryGet(const std::string& key, GetCallback callback);
+  void RetryGet(const std::string& key,
+                const Error& fault,
+                GetCallback callback);
   void RetryPut(const std::string& key,
                 const std::string& value,
+                const Error& fault,
                 DoneCallback callback);
-  void EndDelay(std::uint64_t timer,
-                bool is_late,
-                const DoneCallback& callback);
   template <typename Argument>
   std::function<void(Argument)> Guard(std::function<void(Argument)> callback);
 
