Learn the drain rate over minutes and leave a margin for it

Cause: large requests start minutes apart, and a rate that expired after 30 s fell back to the whole fleet's speed, so long prompts were admitted that could not end in time. The rate now fades over two minutes, starts from the entry's share, and the wait counts half as much again.

--- a/src/kingcupdrift/admission/admission_controller.cc
+++ b/src/kingcupdrift/admission/admission_controller.cc
@@ -10,6 +10,11 @@
 namespace kingcupdrift {
 namespace {
 
+/// The wait counts half as much again as the backlog and the drain rate say:
+/// work admitted later may start earlier.
+constexpr int kDrainMarginNumerator = 3;
+constexpr int kDrainMarginDenominator = 2;
+
 Refusal MakeRefusal(ProblemType type, Duration retry_after) {
   return {type, std::clamp(retry_after, AdmissionController::kMinRetryAfter,
                            AdmissionController::kMaxRetryAfter)};
@@ -150,7 +155,8 @@
     return Refuse(ProblemType::kQueueFull, drain);
   }
   const Duration excess =
-      drain + request.predicted_total - (request.deadline - now);
+      drain * kDrainMarginNumerator / kDrainMarginDenominator +
+      request.predicted_total - (request.deadline - now);
   if (excess > Duration::zero()) {
     return Refuse(ProblemType::kDeadlineInfeasible, excess);
   }
--- a/src/kingcupdrift/admission/admission_controller.h
+++ b/src/kingcupdrift/admission/admission_controller.h
@@ -75,7 +75,7 @@
   /// Time until the backlog of `service` has drained at the measured rate.
   Duration DrainTime(const ServiceId& service) const;
 
-  /// Engines' prefill speed available to this entry, tokens a second; used
+  /// This entry's share of the engines' prefill speed, tokens a second; used
   /// until a drain rate has been measured.
   void SetCapacity(const ServiceId& service, double tokens_per_second);
 
--- a/src/kingcupdrift/admission/internal/drain_meter.h
+++ b/src/kingcupdrift/admission/internal/drain_meter.h
@@ -5,7 +5,9 @@
 
 namespace kingcupdrift {
 
-/// Backlog of one queue, and the rate at which it drains.
+/// Backlog of one queue, and the rate at which it drains while something waits.
+/// Large requests start minutes apart, so the rate fades over minutes and is
+/// never dropped at once.
 class DrainMeter {
  public:
   /// Rate to assume until one was measured.
@@ -18,21 +20,20 @@
   void OnAbandoned(TokenCount tokens);
 
   std::size_t Waiting() const { return waiting_; }
-  /// Time until all that waits has started, at the rate of the last seconds.
+  /// Time until all that waits has started, at the rate of the last minutes.
   Duration DrainTime(MonotonicTime now) const;
 
  private:
-  void CloseWindow(MonotonicTime now);
-  double Rate(MonotonicTime now) const;
+  /// Fades what was counted and adds the time since the last call.
+  void Advance(MonotonicTime now);
 
   double fallback_ = 0;
-  double measured_ = 0;
-  MonotonicTime measured_at_;
   std::size_t waiting_ = 0;
   double backlog_ = 0;
-  /// Tokens started since the queue was last empty or the window closed.
+  /// Tokens started, and seconds in which something waited; both fade.
   double started_ = 0;
-  MonotonicTime window_start_;
+  double seconds_ = 0;
+  MonotonicTime updated_;
 };
 
 }  // namespace kingcupdrift
--- a/tests/fakes/load_run.cc
+++ b/tests/fakes/load_run.cc
@@ -66,6 +66,7 @@
       settings.forces_length_priority = options.forces_length_priority;
       entries_.push_back(std::make_unique<LoadEntry>(
           settings, config, fleet_, clock_, options.seed * 100 + i,
+          1.0 / options.entries,
           [this](const LoadOutcome& outcome) { Record(outcome); }));
     }
     poll_timers_.resize(entries_.size());
