--- a/src/kingcupdrift/admission/fair_queue.cc
+++ b/src/kingcupdrift/admission/fair_queue.cc
@@ -15,8 +15,9 @@
   void Push(QueuedRequest request) {
     const std::uint64_t sequence = next_sequence_++;
     deadlines_.emplace(std::pair(request.deadline, sequence), request.request);
-    QueuedRequest key = request;
-    services_[request.service].Push(sequence, std::move(request));
+    const QueuedRequest key = request;
+    ServiceQueue& queue = services_[request.service];
+    queue.Push(sequence, std::move(request));
     index_.emplace(key.request, Place{sequence, key});
   }
 
