--- a/src/kingcupdrift/base/clock.h
+++ b/src/kingcupdrift/base/clock.h
@@ -22,7 +22,8 @@
 /// A point on the wall clock, microseconds since the Unix epoch.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
-/// A pending callback. Destroying it cancels the callback.
+/// A pending callback. Destroying it cancels the callback. A callback may
+/// destroy its own timer; the clock keeps the callback alive until it returns.
 class Timer {
  public:
   virtual ~Timer() = default;
--- a/src/kingcupdrift/entry/entry.cc
+++ b/src/kingcupdrift/entry/entry.cc
@@ -24,8 +24,9 @@
   return impl_->CallService(std::move(call), std::move(sink));
 }
 
-RequestId Entry::Resume(ResumeCall call, std::unique_ptr<CallerSink> sink) {
-  return impl_->Resume(std::move(call), std::move(sink));
+RequestId Entry::Resume(const ResumeCall& call,
+                        std::unique_ptr<CallerSink> sink) {
+  return impl_->Resume(call, std::move(sink));
 }
 
 void Entry::CallerGone(const RequestId& request) {
--- a/src/kingcupdrift/entry/internal/entry_calls.cc
+++ b/src/kingcupdrift/entry/internal/entry_calls.cc
@@ -148,7 +148,7 @@
                                            std::move(sink)));
 }
 
-RequestId Entry::Impl::Resume(ResumeCall call,
+RequestId Entry::Impl::Resume(const ResumeCall& call,
                               std::unique_ptr<CallerSink> sink) {
   const auto workspace = Authorize(call.context);
   if (!workspace) {
--- a/src/kingcupdrift/entry/internal/entry_impl.h
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -26,7 +26,7 @@
   void Start();
   RequestId Complete(CompletionCall call, std::unique_ptr<CallerSink> sink);
   RequestId CallService(PlainCall call, std::unique_ptr<CallerSink> sink);
-  RequestId Resume(ResumeCall call, std::unique_ptr<CallerSink> sink);
+  RequestId Resume(const ResumeCall& call, std::unique_ptr<CallerSink> sink);
   void CallerGone(const RequestId& request);
   void CallerDrained(const RequestId& request);
   EntriesAnswer ListEntries(const WorkspaceId& workspace) const;
--- a/src/kingcupdrift/entry/internal/resume_request.cc
+++ b/src/kingcupdrift/entry/internal/resume_request.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Bytes a caller may leave unread before its engine is no longer read.
-constexpr ByteCount kMaxUnsent{256 * 1024};
+constexpr ByteCount kMaxUnsent{262'144};
 
 }  // namespace
 
--- a/src/kingcupdrift/routing/internal/service_pool.h
+++ b/src/kingcupdrift/routing/internal/service_pool.h
@@ -2,6 +2,7 @@
 #define KINGCUPDRIFT_ROUTING_INTERNAL_SERVICE_POOL_H_
 
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -22,7 +23,7 @@
 class ServicePool {
  public:
   ServicePool(ServiceConfig config,
-              RoutingPolicyKind policy,
+              const RouterSettings& settings,
               const Clock& clock,
               Random& random);
   ~ServicePool();
@@ -40,6 +41,9 @@
   bool OnProgress(const AttemptId& attempt);
   bool OnEnded(const AttemptId& attempt, AttemptResult result);
 
+  bool OnNote(const DispatchNote& note);
+  void TakeNotes(std::vector<DispatchNote>& out);
+
   Result<Route> Choose(const RouteRequest& request);
   Result<RouteEstimate> Predict(const RouteRequest& request) const;
   void OnDispatched(const RouteRequest& request, const Route& route);
@@ -67,17 +71,20 @@
   EngineState* FindEngine(const EngineId& engine) const;
   void AddEngine(const EngineConfig& config);
   void RemoveEngine(std::size_t slot);
+  void AddNote(const OwnAttempt& attempt);
   OwnAttempt* FindAttempt(const AttemptId& attempt) const;
   void LearnFirstToken(const OwnAttempt& attempt);
   double MeanPrefillRate() const;
 
   ServiceConfig config_;
   std::unique_ptr<RoutingPolicy> policy_;
+  bool uses_length_priority_;
   const Clock& clock_;
   Random& random_;
   std::vector<std::unique_ptr<EngineState>> engines_;
   std::unordered_map<EngineId, std::size_t> slots_;
   std::unordered_map<AttemptId, std::unique_ptr<OwnAttempt>> attempts_;
+  std::deque<DispatchNote> notes_;
   OutlierEjector ejector_;
   PrefixIndex prefixes_;
   SizeMix mix_;
