Say not_run where no engine took a completion; show outages on the time line

Cause: a completion whose engines all refused the connection was told `failed`, although the session knew that no attempt was taken.

Change: the request keeps whether an ended attempt may have run; a metered store and a state watcher.

--- a/src/kingcupdrift/entry/internal/completion_request.cc
+++ b/src/kingcupdrift/entry/internal/completion_request.cc
@@ -86,8 +86,7 @@
   no_engine_since_.reset();
   const auto checked = context().admission.CheckBeforeDispatch(
       MakeAdmissionRequest(route->estimate.total));
-  const bool is_first_try = !may_have_run_;
-  if (!checked && is_first_try) {
+  if (!checked && !MayHaveRun()) {
     state_ = State::kNew;
     ReleaseAll(AttemptResult::kCancelled);
     EndWithProblem(ProblemFromRefusal(checked.error()));
@@ -111,7 +110,7 @@
   }
   const Duration drain = context().admission.DrainTime(info().service.id);
   Problem problem = ProblemFromRouteError(error, drain);
-  problem.outcome = may_have_run_ ? Outcome::kFailed : Outcome::kNotRun;
+  problem.outcome = OutcomeWithoutAnswer();
   state_ = State::kNew;
   ReleaseAll(AttemptResult::kCancelled);
   EndWithProblem(problem);
@@ -185,7 +184,6 @@
 
 void CompletionRequest::StartStream() {
   state_ = State::kStreaming;
-  may_have_run_ = true;
   const EngineAddress leader = route_->members.front().engine;
   Note(EventKind::kRequestDispatched, leader.id, attempt_.value());
   if (session_ == nullptr) {
@@ -279,6 +277,8 @@
 void CompletionRequest::OnAttemptFailed(const AttemptFailure& failure) {
   context().reserver.Release(reservation_);
   reservation_ = ReservationId();
+  earlier_may_have_run_ = earlier_may_have_run_ || failure.may_have_run;
+  state_ = State::kBackoff;
   EndAttempt(failure.is_declined ? AttemptResult::kDeclined
                                  : AttemptResult::kEngineFault);
   excluded_.push_back(failure.engine);
@@ -311,20 +311,28 @@
 }
 
 void CompletionRequest::GiveUp(ProblemType type, const std::string& detail) {
-  ReleaseAll(AttemptResult::kEngineFault);
   Problem problem = NotRun(type, detail);
-  problem.outcome = may_have_run_ ? Outcome::kFailed : Outcome::kNotRun;
+  problem.outcome = OutcomeWithoutAnswer();
+  ReleaseAll(AttemptResult::kEngineFault);
   EndWithProblem(problem);
 }
 
+bool CompletionRequest::MayHaveRun() const {
+  return earlier_may_have_run_ || state_ == State::kStreaming;
+}
+
+Outcome CompletionRequest::OutcomeWithoutAnswer() const {
+  return MayHaveRun() ? Outcome::kFailed : Outcome::kNotRun;
+}
+
 void CompletionRequest::OnDeadline() {
   GiveUp(ProblemType::kDeadlineExceeded, "the time limit has passed");
 }
 
 void CompletionRequest::OnCallerGone() {
+  const Outcome outcome = OutcomeWithoutAnswer();
   ReleaseAll(AttemptResult::kCancelled);
-  EndSilently(may_have_run_ ? Outcome::kFailed : Outcome::kNotRun,
-              "the caller went away");
+  EndSilently(outcome, "the caller went away");
 }
 
 void CompletionRequest::OnCallerDrained() {
--- a/src/kingcupdrift/entry/internal/completion_request.h
+++ b/src/kingcupdrift/entry/internal/completion_request.h
@@ -66,6 +66,9 @@
   RouteRequest MakeRouteRequest() const;
   AdmissionRequest MakeAdmissionRequest(Duration predicted_total) const;
   bool HasNoEngineForTooLong();
+  bool MayHaveRun() const;
+  /// What the caller is told if the request ends now.
+  Outcome OutcomeWithoutAnswer() const;
 
   CompletionCall call_;
   TokenCount max_output_;
@@ -81,7 +84,8 @@
   int retries_ = 0;
   bool is_admitted_ = false;
   bool was_started_ = false;
-  bool may_have_run_ = false;
+  /// An attempt that ended may have run at its engine.
+  bool earlier_may_have_run_ = false;
   bool has_begun_answer_ = false;
 };
 
--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -61,17 +61,18 @@
       dependencies_(dependencies),
       hybrid_clock_(dependencies.clock),
       events_(settings_.instance, hybrid_clock_),
+      metered_store_(dependencies.store, metrics_),
       store_budget_(dependencies.clock, dependencies.random),
       journal_store_(dependencies.clock,
-                     dependencies.store,
+                     metered_store_,
                      store_budget_,
                      StorePriority::kJournal),
       config_store_(dependencies.clock,
-                    dependencies.store,
+                    metered_store_,
                     store_budget_,
                     StorePriority::kConfig),
       lease_store_(dependencies.clock,
-                   dependencies.store,
+                   metered_store_,
                    store_budget_,
                    StorePriority::kLease),
       membership_(MakeSelf(settings_, dependencies.clock),
@@ -115,6 +116,7 @@
               router_,
               [this] { dispatcher_.Wake(); }),
       notes_(dependencies.clock, membership_, router_),
+      watcher_(store_budget_, router_, events_),
       requests_(dependencies.clock),
       context_{settings_,
                dependencies.clock,
@@ -235,6 +237,7 @@
 void Entry::Impl::Tick() {
   UpdateCapacity();
   UpdateMetrics();
+  watcher_.Check();
   tick_timer_ = dependencies_.clock.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
--- a/src/kingcupdrift/entry/internal/entry_impl.h
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -9,11 +9,13 @@
 #include "kingcupdrift/entry/internal/dispatcher.h"
 #include "kingcupdrift/entry/internal/engine_poller.h"
 #include "kingcupdrift/entry/internal/entry_context.h"
+#include "kingcupdrift/entry/internal/metered_store.h"
 #include "kingcupdrift/entry/internal/note_exchange.h"
 #include "kingcupdrift/entry/internal/request.h"
 #include "kingcupdrift/entry/internal/request_table.h"
 #include "kingcupdrift/entry/internal/service_policies.h"
 #include "kingcupdrift/entry/internal/service_targets.h"
+#include "kingcupdrift/entry/internal/state_watcher.h"
 #include "kingcupdrift/store/store.h"
 
 namespace kingcupdrift {
@@ -71,6 +73,7 @@
   HybridClock hybrid_clock_;
   EventRing events_;
   Metrics metrics_;
+  MeteredStore metered_store_;
   StoreBudget store_budget_;
   BudgetedStore journal_store_;
   BudgetedStore config_store_;
@@ -89,6 +92,7 @@
   Dispatcher dispatcher_;
   EnginePoller poller_;
   NoteExchange notes_;
+  StateWatcher watcher_;
   CallerLookup lookup_;
   /// The configuration that `lookup_` refers to.
   SiteConfig site_config_;
--- /dev/null
+++ b/tests/entry/caller_lookup_test.cc
@@ -0,0 +1,61 @@
+#include "kingcupdrift/entry/internal/caller_lookup.h"
+
+#include <doctest/doctest.h>
+
+namespace kingcupdrift {
+namespace {
+
+SiteConfig MakeConfig() {
+  SiteConfig config;
+  ServiceConfig beds;
+  beds.id = ServiceId("beds-api");
+  beds.kind = ServiceKind::kPlain;
+  beds.path_prefix = "/beds";
+  beds.non_idempotent_routes = {"POST /beds/holds"};
+  config.services.emplace(beds.id, beds);
+  ServiceConfig archive = beds;
+  archive.id = ServiceId("archive");
+  archive.path_prefix = "/beds/archive";
+  archive.non_idempotent_routes.clear();
+  config.services.emplace(archive.id, archive);
+  return config;
+}
+
+TEST_CASE("The longest path prefix decides the service [entry]") {
+  const SiteConfig config = MakeConfig();
+  CallerLookup lookup;
+  lookup.ApplyConfig(config);
+  CHECK(lookup.FindPlain("GET", "/beds")->service->id.value() == "beds-api");
+  CHECK(lookup.FindPlain("GET", "/beds/archive/7?x=1")->service->id.value() ==
+        "archive");
+  CHECK(lookup.FindPlain("GET", "/bedside").error().code ==
+        ErrorCode::kNotFound);
+}
+
+TEST_CASE("Marked calls are found however their path is escaped [entry]") {
+  const SiteConfig config = MakeConfig();
+  CallerLookup lookup;
+  lookup.ApplyConfig(config);
+  CHECK(lookup.FindPlain("POST", "/beds/holds")->is_non_idempotent);
+  CHECK(lookup.FindPlain("POST", "/beds/holds/12")->is_non_idempotent);
+  CHECK(lookup.FindPlain("POST", "/beds/%68olds")->is_non_idempotent);
+  CHECK_FALSE(lookup.FindPlain("GET", "/beds/holds")->is_non_idempotent);
+  CHECK_FALSE(lookup.FindPlain("POST", "/beds/holdsx")->is_non_idempotent);
+}
+
+TEST_CASE("Paths that can be read in two ways are refused [entry]") {
+  const SiteConfig config = MakeConfig();
+  CallerLookup lookup;
+  lookup.ApplyConfig(config);
+  for (const char* const target :
+       {"/beds/x/../holds", "/beds//holds", "/beds/%2e%2e/holds",
+        "/beds%2fholds", "/beds/%", "/beds/%4", "/beds/%zz", "/beds/a%00b",
+        "beds", "", "/beds/.", "/beds\\holds"}) {
+    CAPTURE(target);
+    CHECK(lookup.FindPlain("POST", target).error().code ==
+          ErrorCode::kInvalidArgument);
+  }
+}
+
+}  // namespace
+}  // namespace kingcupdrift
--- /dev/null
+++ b/tests/entry/entry_outcome_test.cc
@@ -0,0 +1,61 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+#include "tests/fakes/cluster.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+using std::chrono::seconds;
+
+void RefuseAllConnections(Cluster& cluster) {
+  for (const auto& [id, engine] : cluster.engines().engines()) {
+    EngineLinkFault fault;
+    fault.is_down = true;
+    cluster.engines().SetFault(id, fault);
+  }
+}
+
+TEST_CASE("A completion that no engine took did not run [entry]") {
+  Cluster cluster({.entries = 1, .engines = 2});
+  REQUIRE(cluster.Start());
+  cluster.Advance(seconds(5));
+  RefuseAllConnections(cluster);
+  ClusterCall& call = cluster.Submit("a", "q", {});
+  REQUIRE(cluster.AdvanceUntil([&] { return call.is_over(); }, seconds(60)));
+  CHECK(call.outcome() == "not_run");
+}
+
+TEST_CASE(
+    "An entry whose engines all refuse answers before the deadline "
+    "[entry]") {
+  Cluster cluster({.entries = 1, .engines = 2});
+  REQUIRE(cluster.Start());
+  cluster.Advance(seconds(5));
+  RefuseAllConnections(cluster);
+  cluster.Advance(seconds(30));
+  ClusterCall& call = cluster.Submit("a", "q", {.limit = seconds(60)});
+  CHECK(cluster.AdvanceUntil([&] { return call.is_over(); }, seconds(5)));
+  CHECK(call.outcome() == "not_run");
+}
+
+TEST_CASE("The store's outage and its end are on the time line [entry]") {
+  Cluster cluster({.entries = 1, .engines = 1});
+  REQUIRE(cluster.Start());
+  StoreFault fault;
+  fault.is_down = true;
+  cluster.store().SetFault(fault);
+  cluster.Order("a", "o", "key", seconds(10));
+  cluster.Advance(seconds(60));
+  cluster.store().SetFault({});
+  cluster.Advance(seconds(60));
+  const std::string events =
+      cluster.FindNode("a")->entry().TimelineJson("", "");
+  CHECK(events.find("store_unavailable") != std::string::npos);
+  CHECK(events.find("store_recovered") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace kingcupdrift::fakes
--- a/tests/net/peer_link_test.cc
+++ b/tests/net/peer_link_test.cc
@@ -96,6 +96,16 @@
   CHECK(std::get<ConfigRequestMessage>((*asked)->payload).generation ==
         Generation(4));
   CHECK(!DecodePeerFrame(EncodeHeartbeat())->has_value());
+
+  PeerMessage notes;
+  notes.payload = DispatchNotesMessage{
+      {{EngineId("e1"), AttemptId("a1"), TokenCount(70), TokenCount(90), 3}}};
+  const auto noted = DecodePeerFrame(EncodePeerMessage(notes));
+  const auto& note =
+      std::get<DispatchNotesMessage>((*noted)->payload).notes.at(0);
+  CHECK(note.engine == EngineId("e1"));
+  CHECK(note.memory == TokenCount(90));
+  CHECK(note.engine_priority == 3);
 }
 
 TEST_CASE("Damaged frames never harm the decoder [peer]") {
