Run posted tasks on a later turn of the loop, as documented

Cause: Post activated its event, and libevent runs events that are activated during a turn within that turn, so that the copy of a large body and its handler were not separated after all. Post now sets a timer of zero length. A test that posts behind a due timer failed before.

--- a/src/kingcupdrift/net/event_loop.cc
+++ b/src/kingcupdrift/net/event_loop.cc
@@ -78,7 +78,9 @@
 
 void EventLoop::Post(std::function<void()> task) {
   impl_->tasks.push_back(std::move(task));
-  event_active(impl_->task_event.get(), EV_TIMEOUT, 0);
+  // An activated event would still run in this turn.
+  const timeval now{};
+  event_add(impl_->task_event.get(), &now);
 }
 
 void EventLoop::OnSignal(int signal, std::function<void()> handler) {
