--- a/bench/body/body_bench.cc
+++ b/bench/body/body_bench.cc
@@ -162,8 +162,12 @@
       Answer(call.error().detail);
       return;
     }
+    loop_.Post([this, body = call->body] { Start(body); });
+  }
+
+  void Start(const SharedBytes& body) {
     EngineStreamRequest request;
-    request.body = call->body;
+    request.body = body;
     request.time_left = kRoundLimit;
     const MonotonicTime start = clock_.Now();
     stream_ = engines_->Start(engine_, request, *this);
--- a/src/kingcupdrift/net/entry_process.cc
+++ b/src/kingcupdrift/net/entry_process.cc
@@ -75,7 +75,7 @@
         settings_, EntryDependencies{clock_, random_, *store_, *instances_,
                                      *engines_, *services_, *peers_});
     callers_ = std::make_unique<CallerServer>(
-        *entry_, clock_, settings_.shared_secret, [this] {
+        *entry_, loop_, clock_, settings_.shared_secret, [this] {
           return ProcessMetricsText({loop_, *platform_http_,
                                      *engine_control_http_, *engine_data_http_,
                                      *peers_});
--- a/src/kingcupdrift/net/http_server.cc
+++ b/src/kingcupdrift/net/http_server.cc
@@ -12,8 +12,6 @@
 
 const Logger kLog("http");
 
-constexpr std::size_t kLargeBodyBytes = 65'536;
-
 class EvhttpServer : public HttpServer {
  public:
   EvhttpServer(EventLoop& loop, Handler handler)
--- a/src/kingcupdrift/net/http_server.h
+++ b/src/kingcupdrift/net/http_server.h
@@ -23,6 +23,9 @@
   Duration silence_limit = std::chrono::seconds(60);
 };
 
+/// Bodies of this size and more are handled in steps over several turns.
+inline constexpr std::size_t kLargeBodyBytes = 65'536;
+
 /// One request and its answer. Answer by `Respond`, or by `StartChunked`,
 /// `WriteChunk` and `EndChunked`. Destroying it before the answer's end closes
 /// the connection.
--- a/src/kingcupdrift/net/internal/caller_server.cc
+++ b/src/kingcupdrift/net/internal/caller_server.cc
@@ -49,10 +49,12 @@
 }  // namespace
 
 CallerServer::CallerServer(Entry& entry,
+                           EventLoop& loop,
                            const Clock& clock,
                            std::string shared_secret,
                            std::function<std::string()> process_metrics)
     : entry_(entry),
+      loop_(loop),
       clock_(clock),
       shared_secret_(std::move(shared_secret)),
       process_metrics_(std::move(process_metrics)) {}
@@ -86,12 +88,27 @@
     return;
   }
   call->context = *std::move(context);
+  if (exchange->body()->size() < kLargeBodyBytes) {
+    Complete(*std::move(call), std::move(exchange));
+    return;
+  }
+  // Parsing a large body is work enough for one turn; routing it and starting
+  // it at an engine follow on the next.
+  const auto holder = std::make_shared<Exchange>(std::move(exchange));
+  loop_.Post([this, holder, call = *std::move(call)]() mutable {
+    if (!(*holder)->IsClosed()) {
+      Complete(std::move(call), std::move(*holder));
+    }
+  });
+}
+
+void CallerServer::Complete(CompletionCall call, Exchange exchange) {
   const AnswerForm form =
-      call->is_streaming ? AnswerForm::kStreamed : AnswerForm::kWhole;
+      call.is_streaming ? AnswerForm::kStreamed : AnswerForm::kWhole;
   const auto request = std::make_shared<RequestId>();
   auto sink =
       CreateHttpCallerSink(entry_, clock_, std::move(exchange), form, request);
-  *request = entry_.Complete(*std::move(call), std::move(sink));
+  *request = entry_.Complete(std::move(call), std::move(sink));
 }
 
 void CallerServer::HandleResume(Exchange exchange) {
--- a/src/kingcupdrift/net/internal/caller_server.h
+++ b/src/kingcupdrift/net/internal/caller_server.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "kingcupdrift/entry/entry.h"
+#include "kingcupdrift/net/event_loop.h"
 #include "kingcupdrift/net/http_server.h"
 
 namespace kingcupdrift {
@@ -15,6 +16,7 @@
  public:
   /// `process_metrics` gives the metrics text of what is outside the entry.
   CallerServer(Entry& entry,
+               EventLoop& loop,
                const Clock& clock,
                std::string shared_secret,
                std::function<std::string()> process_metrics);
@@ -26,6 +28,7 @@
   using Exchange = std::unique_ptr<HttpExchange>;
 
   void HandleCompletion(CompletionKind kind, Exchange exchange);
+  void Complete(CompletionCall call, Exchange exchange);
   void HandleResume(Exchange exchange);
   void HandleService(Exchange exchange);
   /// False if the path is none of an operator's.
@@ -36,6 +39,7 @@
   void RespondTimeline(HttpExchange& exchange) const;
 
   Entry& entry_;
+  EventLoop& loop_;
   const Clock& clock_;
   std::string shared_secret_;
   std::function<std::string()> process_metrics_;
