--- a/bench/policy/measurement.cc
+++ b/bench/policy/measurement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <functional>
 #include <thread>
 
@@ -11,13 +12,19 @@
 using fakes::LoadBandResult;
 using fakes::LoadRunResult;
 
+/// Time between the notes of dispatches that entries send each other.
+constexpr Duration kNotes = std::chrono::milliseconds(50);
+
+/// An overload is measured for longer: backlogs grow slowly.
+constexpr Duration kOverloadTime = std::chrono::seconds(600);
+
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) {
     return 0;
   }
   std::sort(values.begin(), values.end());
   const double rank = share * static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(rank + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(rank))];
 }
 
 using RunResults = std::vector<LoadRunResult>;
@@ -90,15 +97,20 @@
 }
 
 fakes::LoadRunOptions RunOptions(const PolicyCase& policy,
-                                 double offered_rate,
+                                 double load,
+                                 double capacity,
                                  int seed) {
   fakes::LoadRunOptions options;
   options.policy = policy.kind;
   options.forces_length_priority = policy.forces_length_priority;
   options.own_time_weight = policy.own_time_weight;
   options.inflicted_delay_weight = policy.inflicted_delay_weight;
-  options.offered_rate = offered_rate;
+  options.offered_rate = load * capacity;
+  if (load > 1) {
+    options.measured = kOverloadTime;
+  }
   options.seed = seed;
+  options.note_interval = policy.note_interval;
   return options;
 }
 
@@ -106,8 +118,10 @@
 
 std::vector<PolicyCase> AllPolicyCases() {
   return {
-      {"cost, Esmaltario", RoutingPolicyKind::kCost, false, 2, 1},
-      {"cost, Bedfinder", RoutingPolicyKind::kCost, false, 1, 2},
+      {"cost, Esmaltario", RoutingPolicyKind::kCost, false, 2, 1, kNotes},
+      {"cost, Bedfinder", RoutingPolicyKind::kCost, false, 1, 2, kNotes},
+      {"cost without notes, Esmaltario", RoutingPolicyKind::kCost, false, 2, 1},
+      {"cost without notes, Bedfinder", RoutingPolicyKind::kCost, false, 1, 2},
       {"random", RoutingPolicyKind::kRandom},
       {"least in flight", RoutingPolicyKind::kLeastInFlight},
       {"split", RoutingPolicyKind::kSplit},
@@ -131,10 +145,11 @@
       const std::size_t which = i / options.seeds;
       const auto seed = static_cast<int>(i % options.seeds);
       results[which][seed] = fakes::RunLoad(
-          RunOptions(cases[which], options.load * capacity, seed + 1));
+          RunOptions(cases[which], options.load, capacity, seed + 1));
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(options.threads);
   for (int i = 0; i < options.threads; ++i) {
     threads.emplace_back(work);
   }
@@ -142,6 +157,7 @@
     thread.join();
   }
   std::vector<CaseSummary> summaries;
+  summaries.reserve(results.size());
   for (const RunResults& runs : results) {
     summaries.push_back(SummarizeCase(runs, capacity));
   }
--- a/tests/fakes/fake_service.h
+++ b/tests/fakes/fake_service.h
@@ -38,7 +38,7 @@
 
   void SetFault(ServiceFault fault) { fault_ = fault; }
   const ServiceFault& fault() const { return fault_; }
-  /// The replies to the next `n` calls are lost after running.
+  /// The connections of the next `n` calls break after running.
   void LoseReplies(int n) { replies_to_lose_ += n; }
   bool TakeLostReply();
 
@@ -77,6 +77,9 @@
  public:
   FakeServiceClient(ServiceFleet& fleet, Clock& clock);
 
+  /// The process is gone: later calls do nothing.
+  void Close() { is_closed_ = true; }
+
   std::unique_ptr<ServiceCall> Call(const EngineAddress& target,
                                     const ServiceRequest& request,
                                     Callback callback) override;
@@ -86,6 +89,7 @@
 
   ServiceFleet& fleet_;
   Clock& clock_;
+  bool is_closed_ = false;
 };
 
 }  // namespace kingcupdrift::fakes
--- a/tests/fakes/load_entry.h
+++ b/tests/fakes/load_entry.h
@@ -39,17 +39,22 @@
  public:
   using OnOutcome = std::function<void(const LoadOutcome&)>;
 
-  LoadEntry(RouterSettings settings,
+  LoadEntry(const RouterSettings& settings,
             const SiteConfig& config,
             LoadFleet& fleet,
             Clock& clock,
             std::uint64_t seed,
+            double capacity_share,
             OnOutcome on_outcome);
   ~LoadEntry();
 
   void Arrive(LoadRequest request);
   /// Fetches every engine's report and cache events.
   void Poll();
+  std::vector<DispatchNote> TakeNotes() { return router_.TakeDispatchNotes(); }
+  void OnNotes(const std::vector<DispatchNote>& notes) {
+    router_.OnDispatchNotes(notes);
+  }
   /// Breaks the streams at engines that were lost.
   void OnEnginesLost();
 
@@ -77,13 +82,14 @@
   Router router_;
   AdmissionController admission_;
   FairQueue queue_;
+  /// This entry's share of the fleet.
+  double capacity_share_;
   RetryBudget budget_;
   OnOutcome on_outcome_;
   std::map<RequestId, std::unique_ptr<Job>> jobs_;
   std::vector<std::unique_ptr<Job>> ended_;
   std::map<EngineId, std::uint64_t> cache_sequences_;
   std::unique_ptr<Timer> pump_timer_;
-  bool is_engine_lost_ = false;
 };
 
 }  // namespace kingcupdrift::fakes
