--- a/src/kingcupdrift/cli/internal/timeline_command.cc
+++ b/src/kingcupdrift/cli/internal/timeline_command.cc
@@ -51,8 +51,12 @@
           {"engine", event.engine},     {"detail", event.detail}};
 }
 
+/// "12:00:00.000001".
 std::string FormatMicroseconds(std::int64_t wall_us) {
-  return fmt::format("{:%T}", WallTime(Duration(wall_us)));
+  constexpr std::int64_t kPerSecond = 1'000'000;
+  const auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(
+      WallTime(Duration(wall_us)));
+  return fmt::format("{:%T}.{:06}", seconds, wall_us % kPerSecond);
 }
 
 std::string OrDash(const std::string& text) {
--- a/src/kingcupdrift/config/config_follower.cc
+++ b/src/kingcupdrift/config/config_follower.cc
@@ -316,7 +316,7 @@
   });
   texts_ = std::move(texts);
   asker_.OnCaughtUp(generation());
-  kLog.Info("Generation {} is in force.", generation().value());
+  kLog.Debug("Generation {} is in force.", generation().value());
   if (!Missing(head).empty()) {
     StartFetch(head);
   }
--- a/src/kingcupdrift/telemetry/internal/metric_family.cc
+++ b/src/kingcupdrift/telemetry/internal/metric_family.cc
@@ -50,6 +50,9 @@
 }
 
 void CounterFamily::Write(std::string& out) const {
+  if (values_.empty()) {
+    return;
+  }
   WriteHeader("counter", out);
   for (const auto& [labels, value] : values_) {
     WriteSample("", labels, value, out);
@@ -57,6 +60,9 @@
 }
 
 void GaugeFamily::Write(std::string& out) const {
+  if (values_.empty()) {
+    return;
+  }
   WriteHeader("gauge", out);
   for (const auto& [labels, value] : values_) {
     WriteSample("", labels, value, out);
@@ -70,6 +76,9 @@
       histogram_(std::make_tuple(LabelAxis(), TimeAxis(AxisEdges(edges)))) {}
 
 void HistogramFamily::Write(std::string& out) const {
+  if (sums_.empty()) {
+    return;
+  }
   WriteHeader("histogram", out);
   const LabelAxis& labels =
       histogram_.axis(std::integral_constant<unsigned, 0>());
--- a/src/kingcupdrift/telemetry/metrics.cc
+++ b/src/kingcupdrift/telemetry/metrics.cc
@@ -75,12 +75,8 @@
   CounterFamily hedges{"kingcupdrift_hedges_total", "Hedged attempts."};
   CounterFamily store_calls{"kingcupdrift_store_calls_total",
                             "Calls to the platform's store, by result."};
-  CounterFamily control_bytes{"kingcupdrift_control_bytes_total",
-                              "Bytes exchanged with peers and the platform."};
   CounterFamily dropped_events{"kingcupdrift_timeline_events_dropped_total",
                                "Events overwritten in the time line."};
-  CounterFamily cpu_seconds{"kingcupdrift_process_cpu_seconds_total",
-                            "Processor time used."};
   GaugeFamily in_progress{"kingcupdrift_requests_in_progress",
                           "Requests admitted and not ended."};
   GaugeFamily queued{"kingcupdrift_requests_queued",
@@ -89,8 +85,6 @@
                          "Generation of the configuration in force."};
   GaugeFamily members{"kingcupdrift_members",
                       "Instances known, by state, this one included."};
-  GaugeFamily resident_bytes{"kingcupdrift_process_resident_bytes",
-                             "Resident memory."};
 };
 
 Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
@@ -142,12 +136,6 @@
       Labels({{"operation", operation}, {"result", result}}));
 }
 
-void Metrics::CountControlBytes(ControlDirection direction, std::size_t bytes) {
-  const bool is_in = direction == ControlDirection::kIn;
-  impl_->control_bytes.Add(Labels({{"direction", is_in ? "in" : "out"}}),
-                           static_cast<double>(bytes));
-}
-
 void Metrics::SetRequestsInProgress(std::size_t count) {
   impl_->in_progress.Set("", static_cast<double>(count));
 }
@@ -175,11 +163,6 @@
   impl_->dropped_events.Set("", static_cast<double>(count));
 }
 
-void Metrics::SetProcessUsage(const ProcessUsage& usage) {
-  impl_->cpu_seconds.Set("", usage.cpu_seconds);
-  impl_->resident_bytes.Set("", static_cast<double>(usage.resident_bytes));
-}
-
 std::string Metrics::PrometheusText() const {
   std::string out;
   impl_->first_token.Write(out);
@@ -191,14 +174,11 @@
   impl_->retries.Write(out);
   impl_->hedges.Write(out);
   impl_->store_calls.Write(out);
-  impl_->control_bytes.Write(out);
   impl_->dropped_events.Write(out);
-  impl_->cpu_seconds.Write(out);
   impl_->in_progress.Write(out);
   impl_->queued.Write(out);
   impl_->generation.Write(out);
   impl_->members.Write(out);
-  impl_->resident_bytes.Write(out);
   return out;
 }
 
--- a/src/kingcupdrift/telemetry/metrics.h
+++ b/src/kingcupdrift/telemetry/metrics.h
@@ -11,18 +11,11 @@
 
 namespace kingcupdrift {
 
-/// Directions of control traffic.
-enum class ControlDirection { kIn, kOut };
-
-/// What one process used so far, as read from the system.
-struct ProcessUsage {
-  double cpu_seconds = 0;
-  std::int64_t resident_bytes = 0;
-};
-
 /// Metrics of one entry. Labels are service names and the fixed names of
 /// problems, outcomes and operations, so that their number stays bounded.
-/// Recording is cheap; only `PrometheusText` formats.
+/// Families without a sample are not written. Recording is cheap; only
+/// `PrometheusText` formats. Bytes and processor time are metrics of the
+/// process, which the network library writes.
 class Metrics {
  public:
   Metrics();
@@ -49,14 +42,12 @@
   void RecordLoopStall(Duration stall);
   /// `operation` such as "get"; `result` is "ok" or an error code's name.
   void CountStoreCall(std::string_view operation, std::string_view result);
-  void CountControlBytes(ControlDirection direction, std::size_t bytes);
 
   void SetRequestsInProgress(std::size_t count);
   void SetRequestsQueued(const ServiceId& service, std::size_t count);
   void SetGeneration(Generation generation);
   void SetMembers(std::size_t alive, std::size_t suspect, std::size_t leaving);
   void SetDroppedEvents(std::uint64_t count);
-  void SetProcessUsage(const ProcessUsage& usage);
 
   /// Text exposition format, version 0.0.4.
   std::string PrometheusText() const;
--- a/tests/cli/config_commands_test.cc
+++ b/tests/cli/config_commands_test.cc
@@ -182,6 +182,7 @@
   CHECK(admin.targets.front() ==
         "/admin/timeline?request=r%201&workspace=w%26x");
   const std::string out = bench.TakeOut();
+  CHECK(out.find("00:00:00.000005  a ") != std::string::npos);
   const std::size_t arrived = out.find("request_arrived");
   const std::size_t first = out.find("first_token");
   const std::size_t completed = out.find("request_completed");
