--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -61,17 +61,18 @@
       dependencies_(dependencies),
       hybrid_clock_(dependencies.clock),
       events_(settings_.instance, hybrid_clock_),
+      metered_store_(dependencies.store, metrics_),
       store_budget_(dependencies.clock, dependencies.random),
       journal_store_(dependencies.clock,
-                     dependencies.store,
+                     metered_store_,
                      store_budget_,
                      StorePriority::kJournal),
       config_store_(dependencies.clock,
-                    dependencies.store,
+                    metered_store_,
                     store_budget_,
                     StorePriority::kConfig),
       lease_store_(dependencies.clock,
-                   dependencies.store,
+                   metered_store_,
                    store_budget_,
                    StorePriority::kLease),
       membership_(MakeSelf(settings_, dependencies.clock),
@@ -114,6 +115,8 @@
               dependencies.engines,
               router_,
               [this] { dispatcher_.Wake(); }),
+      notes_(dependencies.clock, membership_, router_),
+      watcher_(store_budget_, router_, events_),
       requests_(dependencies.clock),
       context_{settings_,
                dependencies.clock,
@@ -160,6 +163,7 @@
   config_.Start();
   sweeper_.Start();
   placement_.Start();
+  notes_.Start();
   lease_.Start([this](bool is_held) {
     events_.Add(is_held ? EventKind::kLeaseTaken : EventKind::kLeaseLost,
                 kPlacementLeaseKey);
@@ -178,6 +182,9 @@
   } else if (const auto* reply =
                  std::get_if<ConfigReplyMessage>(&message.payload)) {
     config_.OnConfigReply(*reply);
+  } else if (const auto* notes =
+                 std::get_if<DispatchNotesMessage>(&message.payload)) {
+    router_.OnDispatchNotes(notes->notes);
   } else {
     membership_.OnMessage(message);
   }
@@ -235,6 +242,7 @@
 void Entry::Impl::Tick() {
   UpdateCapacity();
   UpdateMetrics();
+  watcher_.Check();
   tick_timer_ = dependencies_.clock.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
