--- a/tests/telemetry/telemetry_test.cc
+++ b/tests/telemetry/telemetry_test.cc
@@ -142,9 +142,9 @@
       {"configuration_generation", 12},
       {"members{state=\"suspect\"}", 1},
   };
-  for (const auto& [name, value] : expected) {
-    CAPTURE(name);
-    CHECK(Sample(metrics, "kingcupdrift_" + name) == value);
+  for (const auto& it : expected) {
+    CAPTURE(it.first);
+    CHECK(Sample(metrics, "kingcupdrift_" + it.first) == it.second);
   }
 }
 
