Share the engines' speed among entries, and count large prompts alike

Cause: admission was told the whole fleet's prefill speed, so that each of N entries expected its backlog to drain N times too fast; a restarted peer's usage totals were ignored as late; the queue called only requests with an earlier group route large; refusals of a known workspace had no workspace on the time line.

Change: the speed is divided by the serving entries; a peer's totals are dropped when its incarnation rises; 100,000 tokens make a prompt large in queue and admission; refusals carry the workspace.

--- a/src/kingcupdrift/entry/internal/completion_request.cc
+++ b/src/kingcupdrift/entry/internal/completion_request.cc
@@ -12,6 +12,8 @@
 
 /// Wait for a usable engine before a queued request is refused.
 constexpr Duration kNoEngineGrace = std::chrono::seconds(3);
+/// Prompts from this length on wait for room by age.
+constexpr TokenCount kLargePrompt{100'000};
 /// Bytes a caller may leave unread before its engine is no longer read.
 constexpr ByteCount kMaxUnsent{262'144};
 /// Pause before engines that had no room are asked again.
@@ -71,7 +73,7 @@
   queued.weight = info().workspace.weight;
   queued.priority = info().service.priority + info().workspace.priority;
   queued.tokens = info().prompt_tokens + max_output_;
-  queued.is_large = route_.has_value() && route_->is_group();
+  queued.is_large = info().prompt_tokens >= kLargePrompt;
   queued.arrival = info().arrival;
   queued.deadline = info().deadline;
   Note(EventKind::kRequestQueued, EngineId(), "");
@@ -391,6 +393,7 @@
   request.tokens = info().prompt_tokens + max_output_;
   request.deadline = info().deadline;
   request.predicted_total = predicted_total;
+  request.is_large = info().prompt_tokens >= kLargePrompt;
   return request;
 }
 
--- a/src/kingcupdrift/entry/internal/entry_calls.cc
+++ b/src/kingcupdrift/entry/internal/entry_calls.cc
@@ -25,10 +25,13 @@
 
 }  // namespace
 
-RequestId Entry::Impl::Refuse(CallerSink& sink, const Problem& problem) {
+RequestId Entry::Impl::Refuse(CallerSink& sink,
+                              const Problem& problem,
+                              const WorkspaceId& workspace) {
   metrics_.CountRefusal(ProblemName(problem.type));
   TimelineEvent event;
   event.kind = EventKind::kRequestRefused;
+  event.workspace = workspace;
   event.detail = std::string(ProblemName(problem.type));
   events_.Add(std::move(event));
   sink.Fail(problem);
@@ -103,7 +106,7 @@
         *sink, NotRun(ProblemType::kUnknownModel, "no service has this model"));
   }
   if (!MayUse(**workspace, service->id)) {
-    return Refuse(*sink, NotAllowed());
+    return Refuse(*sink, NotAllowed(), (*workspace)->id);
   }
   RequestInfo info = MakeInfo(**workspace, *service, call.context);
   info.prompt_tokens = call.prompt_tokens;
@@ -120,13 +123,15 @@
   const Result<PlainRoute> route = lookup_.FindPlain(call.method, call.target);
   if (!route) {
     const bool is_malformed = route.error().code == ErrorCode::kInvalidArgument;
-    return Refuse(*sink, NotRun(is_malformed ? ProblemType::kInvalidRequest
-                                             : ProblemType::kNotFound,
-                                route.error().detail));
+    return Refuse(*sink,
+                  NotRun(is_malformed ? ProblemType::kInvalidRequest
+                                      : ProblemType::kNotFound,
+                         route.error().detail),
+                  (*workspace)->id);
   }
   const ServiceConfig& service = *route->service;
   if (!MayUse(**workspace, service.id)) {
-    return Refuse(*sink, NotAllowed());
+    return Refuse(*sink, NotAllowed(), (*workspace)->id);
   }
   RequestInfo info = MakeInfo(**workspace, service, call.context);
   if (!route->is_non_idempotent) {
@@ -134,14 +139,17 @@
         context_, std::move(info), std::move(call), std::move(sink)));
   }
   if (call.context.idempotency_key.empty()) {
-    return Refuse(*sink, NotRun(ProblemType::kIdempotencyKeyRequired,
-                                "this call needs an Idempotency-Key header"));
+    return Refuse(*sink,
+                  NotRun(ProblemType::kIdempotencyKeyRequired,
+                         "this call needs an Idempotency-Key header"),
+                  info.workspace.id);
   }
   Result<IdempotencyKey> key = ParseIdempotencyKey(
       info.workspace.id, service.id, call.context.idempotency_key);
   if (!key) {
     return Refuse(*sink,
-                  NotRun(ProblemType::kInvalidRequest, key.error().detail));
+                  NotRun(ProblemType::kInvalidRequest, key.error().detail),
+                  info.workspace.id);
   }
   return Run(std::make_unique<OnceRequest>(context_, std::move(info),
                                            std::move(call), *std::move(key),
@@ -158,15 +166,19 @@
       DecodeResumeToken(call.resume_token, settings_.shared_secret,
                         dependencies_.clock.WallNow());
   if (!token || token->workspace != (*workspace)->id) {
-    return Refuse(*sink, NotRun(ProblemType::kResumeRefused,
-                                "the resume token is not valid here"));
+    return Refuse(*sink,
+                  NotRun(ProblemType::kResumeRefused,
+                         "the resume token is not valid here"),
+                  (*workspace)->id);
   }
   const auto service = site_config_.services.find(token->service);
   const auto engine = site_config_.engines.find(token->engine);
   if (service == site_config_.services.end() ||
       engine == site_config_.engines.end()) {
-    return Refuse(*sink, NotRun(ProblemType::kResumeRefused,
-                                "the stream's engine is no longer in use"));
+    return Refuse(*sink,
+                  NotRun(ProblemType::kResumeRefused,
+                         "the stream's engine is no longer in use"),
+                  (*workspace)->id);
   }
   RequestInfo info = MakeInfo(**workspace, service->second, call.context);
   info.prompt_tokens = token->prompt_tokens;
--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -201,9 +201,16 @@
 
 void Entry::Impl::OnMemberChanged(const MemberRecord& record) {
   events_.Add(KindOfMember(record.state), record.id.value());
+  Incarnation& known = peer_incarnations_[record.id];
+  if (record.incarnation > known) {
+    // A restarted instance counts its usage from zero.
+    known = record.incarnation;
+    admission_.ForgetPeer(record.id);
+  }
   if (record.state == MemberState::kDead) {
     kLog.Warning("Instance {} does not answer.", record.id.value());
     admission_.ForgetPeer(record.id);
+    peer_incarnations_.erase(record.id);
   }
 }
 
@@ -247,9 +254,12 @@
 }
 
 void Entry::Impl::UpdateCapacity() {
+  // The engines' speed is shared by all entries that take work.
+  const auto entries = static_cast<double>(
+      std::max<std::size_t>(1, membership_.Serving().size()));
   for (const auto& [id, service] : site_config_.services) {
     if (service.kind == ServiceKind::kModel) {
-      admission_.SetCapacity(id, router_.Load(id).prefill_rate);
+      admission_.SetCapacity(id, router_.Load(id).prefill_rate / entries);
     }
   }
 }
--- a/src/kingcupdrift/entry/internal/entry_impl.h
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_ENTRY_INTERNAL_ENTRY_IMPL_H_
 #define KINGCUPDRIFT_ENTRY_INTERNAL_ENTRY_IMPL_H_
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -66,7 +67,9 @@
                        const CallerContext& caller);
   RequestId Run(std::unique_ptr<Request> request);
   /// Answers a call that became no request. Returns an empty identifier.
-  RequestId Refuse(CallerSink& sink, const Problem& problem);
+  RequestId Refuse(CallerSink& sink,
+                   const Problem& problem,
+                   const WorkspaceId& workspace = {});
 
   EntrySettings settings_;
   EntryDependencies dependencies_;
@@ -98,6 +101,7 @@
   SiteConfig site_config_;
   RequestTable requests_;
   EntryContext context_;
+  std::map<InstanceId, Incarnation> peer_incarnations_;
   std::optional<MonotonicTime> drain_started_;
   std::unique_ptr<Timer> tick_timer_;
   std::unique_ptr<Timer> sweep_timer_;
