End a planned stop although results cannot become durable

Change: 30 s after its last request the entry counts as drained; the keys keep their intent, and a repeated call is told unknown, as after a crash.

Before: the new case fails (not drained within 60 s).

--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -13,6 +13,9 @@
 /// Interval of housekeeping: capacity, metrics, queue.
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 constexpr Duration kJournalSweepInterval = std::chrono::minutes(1);
+/// Longest wait of a leaving entry for results that are not durable yet. After
+/// it their keys stay with an intent, and repeated calls are told "unknown".
+constexpr Duration kJournalDrainLimit = std::chrono::seconds(30);
 /// Peers told at once of a new configuration.
 constexpr std::size_t kConfigFanout = 3;
 /// Workspaces whose usage goes into one gossip message.
@@ -250,9 +253,18 @@
   UpdateCapacity();
   UpdateMetrics();
   watcher_.Check();
+  NoteIdle();
   tick_timer_ = dependencies_.clock.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
+void Entry::Impl::NoteIdle() {
+  if (!drain_started_ || requests_.size() > 0) {
+    idle_since_.reset();
+  } else if (!idle_since_) {
+    idle_since_ = dependencies_.clock.Now();
+  }
+}
+
 void Entry::Impl::UpdateCapacity() {
   // The engines' speed is shared by all entries that take work.
   const auto entries = static_cast<double>(
@@ -338,9 +350,15 @@
     return false;
   }
   // Callers with an older answer are redirected until it has run out.
-  const Duration since = dependencies_.clock.Now() - *drain_started_;
-  return since >= settings_.entries_lifetime && requests_.size() == 0 &&
-         journal_.pending() == 0 && reserver_.size() == 0;
+  const MonotonicTime now = dependencies_.clock.Now();
+  const bool are_answers_old =
+      now - *drain_started_ >= settings_.entries_lifetime;
+  if (!are_answers_old || requests_.size() > 0) {
+    return false;
+  }
+  const bool is_all_durable = journal_.pending() == 0 && reserver_.size() == 0;
+  return is_all_durable ||
+         (idle_since_ && now - *idle_since_ >= kJournalDrainLimit);
 }
 
 std::string Entry::Impl::MetricsText() const {
--- a/src/kingcupdrift/entry/internal/entry_impl.h
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -53,6 +53,7 @@
   void OnConfigApplied(const SiteConfig& config);
   void FillGossip(GossipMessage& gossip);
   void Tick();
+  void NoteIdle();
   void UpdateCapacity();
   void UpdateMetrics();
   void SweepJournal();
@@ -103,6 +104,8 @@
   EntryContext context_;
   std::map<InstanceId, Incarnation> peer_incarnations_;
   std::optional<MonotonicTime> drain_started_;
+  /// When the last request of a leaving entry ended.
+  std::optional<MonotonicTime> idle_since_;
   std::unique_ptr<Timer> tick_timer_;
   std::unique_ptr<Timer> sweep_timer_;
 };
--- a/tests/entry/entry_outcome_test.cc
+++ b/tests/entry/entry_outcome_test.cc
@@ -57,5 +57,18 @@
   CHECK(events.find("store_recovered") != std::string::npos);
 }
 
+TEST_CASE("A planned stop ends although the store is down [entry]") {
+  Cluster cluster({.entries = 1, .engines = 1});
+  REQUIRE(cluster.Start());
+  ClusterCall& order = cluster.Order("a", "o", "key", seconds(20));
+  REQUIRE(cluster.AdvanceUntil([&] { return order.is_over(); }, seconds(20)));
+  StoreFault fault;
+  fault.is_down = true;
+  cluster.store().SetFault(fault);
+  cluster.Drain("a");
+  CHECK(cluster.AdvanceUntil([&] { return cluster.FindNode("a") == nullptr; },
+                             seconds(60)));
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
