Doubt an engine by the usual gap between its reports

Change: the limit is 1.5 s or three times the usual gap, whichever is longer. Before: the new case failed (the busy engine was chosen).

--- a/src/kingcupdrift/routing/internal/engine_state.cc
+++ b/src/kingcupdrift/routing/internal/engine_state.cc
@@ -30,9 +30,14 @@
       now - report.age < report_time_) {
     return;
   }
+  const MonotonicTime measured_at = now - report.age;
+  if (has_report_ && measured_at > report_time_) {
+    Smooth(report_gap_us_,
+           static_cast<double>((measured_at - report_time_).count()));
+  }
   report_ = report;
   has_report_ = true;
-  report_time_ = now - report.age;
+  report_time_ = measured_at;
   if (report.prefill_rate > 0) {
     Smooth(prefill_rate_, report.prefill_rate);
   }
@@ -118,8 +123,10 @@
   if (!has_report_) {
     return Duration::zero();
   }
-  return std::clamp(now - report_time_ - kDoubtAfter, Duration::zero(),
-                    kMaxDoubt);
+  const Duration usual(
+      static_cast<Duration::rep>(kGapsToDoubt * report_gap_us_));
+  const Duration limit = std::max(kDoubtAfter, usual);
+  return std::clamp(now - report_time_ - limit, Duration::zero(), kMaxDoubt);
 }
 
 double EngineState::DrainedTokens(MonotonicTime now) const {
--- a/src/kingcupdrift/routing/internal/engine_state.h
+++ b/src/kingcupdrift/routing/internal/engine_state.h
@@ -70,8 +70,10 @@
 
   /// Failed reports in a row after which an engine is not used.
   static constexpr int kFailuresToDistrust = 2;
-  /// Age of a report from which an engine is doubted.
+  /// Age of a report from which an engine is doubted, at the least; where
+  /// reports come rarely, `kGapsToDoubt` times their usual gap.
   static constexpr Duration kDoubtAfter = std::chrono::milliseconds(1500);
+  static constexpr double kGapsToDoubt = 3;
   static constexpr Duration kMaxDoubt = std::chrono::seconds(10);
   /// Notes of other entries kept for one engine, at most.
   static constexpr std::size_t kMaxForeign = 64;
@@ -98,6 +100,8 @@
   EngineReport report_;
   bool has_report_ = false;
   MonotonicTime report_time_;
+  /// Usual time between reports, in microseconds.
+  double report_gap_us_ = 0;
   int failed_reports_ = 0;
   /// Reported waiting tokens and requests that this entry did not send.
   double others_tokens_ = 0;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -87,6 +87,26 @@
   CHECK(route->members.front().engine.id == RoutingHarness::Engine(1));
 }
 
+TEST_CASE(
+    "An engine that is polled rarely is not doubted between polls "
+    "[routing]") {
+  RoutingHarness harness(2);
+  EngineReport busy = RoutingHarness::Idle();
+  busy.waiting_prefill_tokens = TokenCount(10'000);
+  EngineReport idle = RoutingHarness::Idle();
+  for (int i = 0; i < 10; ++i) {
+    busy.sequence = static_cast<std::uint64_t>(i);
+    idle.sequence = busy.sequence;
+    harness.router.OnReport(RoutingHarness::Engine(0), idle);
+    harness.clock.Advance(seconds(4));
+    harness.router.OnReport(RoutingHarness::Engine(1), busy);
+  }
+  // The idle engine's report is 4 s old, as every report of it was.
+  const auto route = harness.router.Choose(harness.Request(20'000));
+  REQUIRE(route);
+  CHECK(route->members.front().engine.id == RoutingHarness::Engine(0));
+}
+
 TEST_CASE(
     "Short prompts get a higher engine priority than long ones, and "
     "long ones pass what arrives much later [routing]") {
