--- a/bench/policy/main.cc
+++ b/bench/policy/main.cc
@@ -14,6 +14,7 @@
           "Offered loads, in percent of the capacity");
 ABSL_FLAG(std::string, policy, "", "Only policies whose name contains this");
 ABSL_FLAG(int, seeds, 5, "Seeds 1 to N for each cell");
+ABSL_FLAG(int, poll_ms, 250, "Time between two reports of an engine, ms");
 ABSL_FLAG(int, threads, 4, "Runs at the same time");
 
 namespace kingcupdrift {
@@ -69,6 +70,8 @@
     options.load = std::stod(load) / 100;
     options.seeds = absl::GetFlag(FLAGS_seeds);
     options.threads = absl::GetFlag(FLAGS_threads);
+    options.poll_interval =
+        std::chrono::milliseconds(absl::GetFlag(FLAGS_poll_ms));
     const std::vector<CaseSummary> summaries =
         Measure(cases, options, capacity);
     for (std::size_t i = 0; i < cases.size(); ++i) {
--- a/bench/policy/measurement.cc
+++ b/bench/policy/measurement.cc
@@ -97,7 +97,7 @@
 }
 
 fakes::LoadRunOptions RunOptions(const PolicyCase& policy,
-                                 double load,
+                                 const MeasurementOptions& measurement,
                                  double capacity,
                                  int seed) {
   fakes::LoadRunOptions options;
@@ -105,8 +105,9 @@
   options.forces_length_priority = policy.forces_length_priority;
   options.own_time_weight = policy.own_time_weight;
   options.inflicted_delay_weight = policy.inflicted_delay_weight;
-  options.offered_rate = load * capacity;
-  if (load > 1) {
+  options.offered_rate = measurement.load * capacity;
+  options.poll_interval = measurement.poll_interval;
+  if (measurement.load > 1) {
     options.measured = kOverloadTime;
   }
   options.seed = seed;
@@ -144,8 +145,8 @@
     for (std::size_t i = next++; i < total; i = next++) {
       const std::size_t which = i / options.seeds;
       const auto seed = static_cast<int>(i % options.seeds);
-      results[which][seed] = fakes::RunLoad(
-          RunOptions(cases[which], options.load, capacity, seed + 1));
+      results[which][seed] =
+          fakes::RunLoad(RunOptions(cases[which], options, capacity, seed + 1));
     }
   };
   std::vector<std::thread> threads;
--- a/bench/policy/measurement.h
+++ b/bench/policy/measurement.h
@@ -57,6 +57,8 @@
   double load = 0.8;
   int seeds = 5;
   int threads = 4;
+  /// Time between two reports of one engine to one entry.
+  Duration poll_interval = std::chrono::milliseconds(250);
 };
 
 /// Prompt tokens a second of the whole fleet.
--- a/src/kingcupdrift/entry/internal/engine_poller.h
+++ b/src/kingcupdrift/entry/internal/engine_poller.h
@@ -31,11 +31,11 @@
   void SetEngines(std::vector<EngineAddress> engines);
 
   /// Calls a second to all engines together.
-  static constexpr int kCallsPerSecond = 24;
+  static constexpr int kCallsPerSecond = 12;
   /// Shortest time between two reports of one engine.
   static constexpr Duration kMinInterval = std::chrono::milliseconds(250);
   /// Of this many calls to an engine one reads cache events, the others load.
-  static constexpr std::uint64_t kCacheTurn = 3;
+  static constexpr std::uint64_t kCacheTurn = 4;
 
  private:
   struct State {
