--- a/bench/capacity/journal.cc
+++ b/bench/capacity/journal.cc
@@ -38,6 +38,7 @@
   fakes::ManualClock clock;
   fakes::StoreModel model(clock);
   std::vector<std::unique_ptr<Entry>> entries;
+  entries.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     entries.push_back(std::make_unique<Entry>(i, model, clock));
   }
--- a/bench/capacity/membership.cc
+++ b/bench/capacity/membership.cc
@@ -115,6 +115,7 @@
   fakes::InstanceListModel list(std::chrono::seconds(5), clock);
   const std::size_t heap_before = HeapBytes();
   std::vector<std::unique_ptr<Node>> nodes;
+  nodes.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     nodes.push_back(std::make_unique<Node>(i, clock, network, list));
   }
