Load digested configuration values in one place

Cause: proposals and documents were read by twin functions of 18 equal lines. Change: LoadDigested serves both.

--- a/src/kingcupdrift/config/internal/config_reader.cc
+++ b/src/kingcupdrift/config/internal/config_reader.cc
@@ -57,48 +57,44 @@
 
 void ConfigReader::LoadProposal(const std::string& digest,
                                 Callback<ConfigProposal> callback) {
-  store_.Get(kConfigProposalPrefix + digest,
-             [digest, callback = std::move(callback)](
-                 Result<std::optional<StoreValue>> value) {
-               if (!value) {
-                 callback(tl::unexpected(value.error()));
-                 return;
-               }
-               if (!*value) {
-                 callback(MakeError(ErrorCode::kNotFound,
-                                    fmt::format("no proposal {}", digest)));
-                 return;
-               }
-               if (Sha256Hex((*value)->value) != digest) {
-                 callback(MakeError(ErrorCode::kProtocol,
-                                    "the proposal does not match its digest"));
-                 return;
-               }
-               callback(ParseConfigProposal((*value)->value));
-             });
+  LoadDigested(kConfigProposalPrefix, digest,
+               [callback = std::move(callback)](Result<std::string> text) {
+                 if (!text) {
+                   callback(tl::unexpected(text.error()));
+                   return;
+                 }
+                 callback(ParseConfigProposal(*text));
+               });
 }
 
 void ConfigReader::LoadBlob(const std::string& digest,
                             Callback<std::string> callback) {
-  store_.Get(kConfigBlobPrefix + digest,
-             [digest, callback = std::move(callback)](
-                 Result<std::optional<StoreValue>> value) {
-               if (!value) {
-                 callback(tl::unexpected(value.error()));
-                 return;
-               }
-               if (!*value) {
-                 callback(MakeError(ErrorCode::kNotFound,
-                                    fmt::format("no document {}", digest)));
-                 return;
-               }
-               if (Sha256Hex((*value)->value) != digest) {
-                 callback(MakeError(ErrorCode::kProtocol,
-                                    "a document does not match its digest"));
-                 return;
-               }
-               callback(std::move((*value)->value));
-             });
+  LoadDigested(kConfigBlobPrefix, digest, std::move(callback));
+}
+
+void ConfigReader::LoadDigested(const std::string& prefix,
+                                const std::string& digest,
+                                Callback<std::string> callback) {
+  store_.Get(prefix + digest, [digest, callback = std::move(callback)](
+                                  Result<std::optional<StoreValue>> value) {
+    if (!value) {
+      callback(tl::unexpected(value.error()));
+      return;
+    }
+    if (!*value) {
+      callback(MakeError(ErrorCode::kNotFound,
+                         fmt::format("nothing stored under {}", digest)));
+      return;
+    }
+    if (Sha256Hex((*value)->value) != digest) {
+      callback(MakeError(ErrorCode::kProtocol,
+                         fmt::format("what is stored under {} does "
+                                     "not match this digest",
+                                     digest)));
+      return;
+    }
+    callback(std::move((*value)->value));
+  });
 }
 
 void ConfigReader::LoadDocuments(const DocumentDigests& digests,
--- a/src/kingcupdrift/config/internal/config_reader.h
+++ b/src/kingcupdrift/config/internal/config_reader.h
@@ -36,6 +36,10 @@
                      Callback<ConfigDocuments> callback);
 
  private:
+  /// Loads a value stored under its own digest; kProtocol if it is not.
+  void LoadDigested(const std::string& prefix,
+                    const std::string& digest,
+                    Callback<std::string> callback);
   struct Wanted {
     /// Empty for the base.
     SiteId site;
