Tell a holder of its lease although its timer came early

Cause: the loop's timers count from the start of a turn and may come a little early; the start timer then found the lease not yet in force, and nobody was told later. IsHeld was right all along. The timer now looks again.

Its first draft of an early clock shortened every delay and looped for ever under a paused clock; short delays are kept now.

--- a/src/kingcupdrift/engines/lease_keeper.cc
+++ b/src/kingcupdrift/engines/lease_keeper.cc
@@ -95,11 +95,21 @@
   valid_until_ = sent_at + limits_.time_to_live;
   // The holder before may have sent its last order just before its end.
   acts_from_ = clock_.Now() + limits_.longest_delay;
-  start_timer_ = clock_.RunAfter(limits_.longest_delay, [this] { Notify(); });
+  AwaitStart();
   ScheduleRenewal();
   WatchExpiry();
 }
 
+void LeaseKeeper::AwaitStart() {
+  const Duration wait = acts_from_ - clock_.Now();
+  if (wait <= Duration::zero()) {
+    Notify();
+    return;
+  }
+  // A timer may come a little early, so that it looks again.
+  start_timer_ = clock_.RunAfter(wait, [this] { AwaitStart(); });
+}
+
 void LeaseKeeper::ScheduleRenewal() {
   renew_timer_ = clock_.RunAfter(limits_.renew_interval, [this] { Renew(); });
 }
--- a/src/kingcupdrift/engines/lease_keeper.h
+++ b/src/kingcupdrift/engines/lease_keeper.h
@@ -64,6 +64,7 @@
   void Grant();
   void TakeKey(MonotonicTime sent_at);
   void OnTaken(StoreVersion version, MonotonicTime sent_at);
+  void AwaitStart();
   void ScheduleRenewal();
   void Renew();
   void OnRenewed(const Result<void>& renewed, MonotonicTime sent_at);
--- a/tests/engines/lease_test.cc
+++ b/tests/engines/lease_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -82,6 +83,42 @@
   CHECK(harness.model(0).counters().orders.back().version == "v2");
 }
 
+/// A clock whose timers come early, as those of a loop that measures from the
+/// start of its turn.
+class EarlyClock : public Clock {
+ public:
+  explicit EarlyClock(Clock& base) : base_(base) {}
+  MonotonicTime Now() const override { return base_.Now(); }
+  WallTime WallNow() const override { return base_.WallNow(); }
+  std::unique_ptr<Timer> RunAfter(Duration delay,
+                                  std::function<void()> callback) override {
+    // Short delays are kept, or time would stand still under a paused clock.
+    const Duration early = delay > kEarly ? kEarly : Duration::zero();
+    return base_.RunAfter(delay - early, std::move(callback));
+  }
+
+ private:
+  static constexpr Duration kEarly = milliseconds(1);
+
+  Clock& base_;
+};
+
+TEST_CASE(
+    "A holder is told of its lease although timers come early "
+    "[engines]") {
+  fakes::ManualClock clock;
+  EarlyClock early(clock);
+  fakes::StoreModel model(clock);
+  fakes::FakeStore store({}, model, clock);
+  SeededRandom random(1);
+  LeaseKeeper lease(early, random, store, kLeaseKey, InstanceId("i1"));
+  bool is_told = false;
+  lease.Start([&](bool is_held) { is_told = is_held; });
+  clock.Advance(seconds(12));
+  CHECK(lease.IsHeld());
+  CHECK(is_told);
+}
+
 TEST_CASE(
     "A holder that is frozen past its lease sends nothing afterwards "
     "[engines]") {
