--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -13,6 +13,9 @@
 /// Interval of housekeeping: capacity, metrics, queue.
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 constexpr Duration kJournalSweepInterval = std::chrono::minutes(1);
+/// Longest wait of a leaving entry for results that are not durable yet. After
+/// it their keys stay with an intent, and repeated calls are told "unknown".
+constexpr Duration kJournalDrainLimit = std::chrono::seconds(30);
 /// Peers told at once of a new configuration.
 constexpr std::size_t kConfigFanout = 3;
 /// Workspaces whose usage goes into one gossip message.
@@ -61,17 +64,18 @@
       dependencies_(dependencies),
       hybrid_clock_(dependencies.clock),
       events_(settings_.instance, hybrid_clock_),
+      metered_store_(dependencies.store, metrics_),
       store_budget_(dependencies.clock, dependencies.random),
       journal_store_(dependencies.clock,
-                     dependencies.store,
+                     metered_store_,
                      store_budget_,
                      StorePriority::kJournal),
       config_store_(dependencies.clock,
-                    dependencies.store,
+                    metered_store_,
                     store_budget_,
                     StorePriority::kConfig),
       lease_store_(dependencies.clock,
-                   dependencies.store,
+                   metered_store_,
                    store_budget_,
                    StorePriority::kLease),
       membership_(MakeSelf(settings_, dependencies.clock),
@@ -114,6 +118,8 @@
               dependencies.engines,
               router_,
               [this] { dispatcher_.Wake(); }),
+      notes_(dependencies.clock, membership_, router_),
+      watcher_(store_budget_, router_, events_),
       requests_(dependencies.clock),
       context_{settings_,
                dependencies.clock,
@@ -160,6 +166,7 @@
   config_.Start();
   sweeper_.Start();
   placement_.Start();
+  notes_.Start();
   lease_.Start([this](bool is_held) {
     events_.Add(is_held ? EventKind::kLeaseTaken : EventKind::kLeaseLost,
                 kPlacementLeaseKey);
@@ -178,6 +185,9 @@
   } else if (const auto* reply =
                  std::get_if<ConfigReplyMessage>(&message.payload)) {
     config_.OnConfigReply(*reply);
+  } else if (const auto* notes =
+                 std::get_if<DispatchNotesMessage>(&message.payload)) {
+    router_.OnDispatchNotes(notes->notes);
   } else {
     membership_.OnMessage(message);
   }
@@ -194,9 +204,16 @@
 
 void Entry::Impl::OnMemberChanged(const MemberRecord& record) {
   events_.Add(KindOfMember(record.state), record.id.value());
+  Incarnation& known = peer_incarnations_[record.id];
+  if (record.incarnation > known) {
+    // A restarted instance counts its usage from zero.
+    known = record.incarnation;
+    admission_.ForgetPeer(record.id);
+  }
   if (record.state == MemberState::kDead) {
     kLog.Warning("Instance {} does not answer.", record.id.value());
     admission_.ForgetPeer(record.id);
+    peer_incarnations_.erase(record.id);
   }
 }
 
@@ -208,6 +225,11 @@
   targets_.ApplyConfig(site_config_);
   lookup_.ApplyConfig(site_config_);
   std::vector<EngineAddress> subset = router_.Subset();
+  // Plain services have neither load reports nor holdings.
+  std::erase_if(subset, [this](const EngineAddress& engine) {
+    const ServiceId& service = site_config_.engines.at(engine.id).service;
+    return site_config_.services.at(service).kind != ServiceKind::kModel;
+  });
   sweeper_.SetEngines(subset);
   poller_.SetEngines(std::move(subset));
   placement_.SetConfig(site_config_);
@@ -230,13 +252,26 @@
 void Entry::Impl::Tick() {
   UpdateCapacity();
   UpdateMetrics();
+  watcher_.Check();
+  NoteIdle();
   tick_timer_ = dependencies_.clock.RunAfter(kTickInterval, [this] { Tick(); });
 }
 
+void Entry::Impl::NoteIdle() {
+  if (!drain_started_ || requests_.size() > 0) {
+    idle_since_.reset();
+  } else if (!idle_since_) {
+    idle_since_ = dependencies_.clock.Now();
+  }
+}
+
 void Entry::Impl::UpdateCapacity() {
+  // The engines' speed is shared by all entries that take work.
+  const auto entries = static_cast<double>(
+      std::max<std::size_t>(1, membership_.Serving().size()));
   for (const auto& [id, service] : site_config_.services) {
     if (service.kind == ServiceKind::kModel) {
-      admission_.SetCapacity(id, router_.Load(id).prefill_rate);
+      admission_.SetCapacity(id, router_.Load(id).prefill_rate / entries);
     }
   }
 }
@@ -315,9 +350,15 @@
     return false;
   }
   // Callers with an older answer are redirected until it has run out.
-  const Duration since = dependencies_.clock.Now() - *drain_started_;
-  return since >= settings_.entries_lifetime && requests_.size() == 0 &&
-         journal_.pending() == 0 && reserver_.size() == 0;
+  const MonotonicTime now = dependencies_.clock.Now();
+  const bool are_answers_old =
+      now - *drain_started_ >= settings_.entries_lifetime;
+  if (!are_answers_old || requests_.size() > 0) {
+    return false;
+  }
+  const bool is_all_durable = journal_.pending() == 0 && reserver_.size() == 0;
+  return is_all_durable ||
+         (idle_since_ && now - *idle_since_ >= kJournalDrainLimit);
 }
 
 std::string Entry::Impl::MetricsText() const {
--- a/src/kingcupdrift/entry/internal/entry_impl.h
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_ENTRY_INTERNAL_ENTRY_IMPL_H_
 #define KINGCUPDRIFT_ENTRY_INTERNAL_ENTRY_IMPL_H_
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -9,10 +10,13 @@
 #include "kingcupdrift/entry/internal/dispatcher.h"
 #include "kingcupdrift/entry/internal/engine_poller.h"
 #include "kingcupdrift/entry/internal/entry_context.h"
+#include "kingcupdrift/entry/internal/metered_store.h"
+#include "kingcupdrift/entry/internal/note_exchange.h"
 #include "kingcupdrift/entry/internal/request.h"
 #include "kingcupdrift/entry/internal/request_table.h"
 #include "kingcupdrift/entry/internal/service_policies.h"
 #include "kingcupdrift/entry/internal/service_targets.h"
+#include "kingcupdrift/entry/internal/state_watcher.h"
 #include "kingcupdrift/store/store.h"
 
 namespace kingcupdrift {
@@ -49,6 +53,7 @@
   void OnConfigApplied(const SiteConfig& config);
   void FillGossip(GossipMessage& gossip);
   void Tick();
+  void NoteIdle();
   void UpdateCapacity();
   void UpdateMetrics();
   void SweepJournal();
@@ -63,13 +68,16 @@
                        const CallerContext& caller);
   RequestId Run(std::unique_ptr<Request> request);
   /// Answers a call that became no request. Returns an empty identifier.
-  RequestId Refuse(CallerSink& sink, const Problem& problem);
+  RequestId Refuse(CallerSink& sink,
+                   const Problem& problem,
+                   const WorkspaceId& workspace = {});
 
   EntrySettings settings_;
   EntryDependencies dependencies_;
   HybridClock hybrid_clock_;
   EventRing events_;
   Metrics metrics_;
+  MeteredStore metered_store_;
   StoreBudget store_budget_;
   BudgetedStore journal_store_;
   BudgetedStore config_store_;
@@ -87,12 +95,17 @@
   ServiceTargets targets_;
   Dispatcher dispatcher_;
   EnginePoller poller_;
+  NoteExchange notes_;
+  StateWatcher watcher_;
   CallerLookup lookup_;
   /// The configuration that `lookup_` refers to.
   SiteConfig site_config_;
   RequestTable requests_;
   EntryContext context_;
+  std::map<InstanceId, Incarnation> peer_incarnations_;
   std::optional<MonotonicTime> drain_started_;
+  /// When the last request of a leaving entry ended.
+  std::optional<MonotonicTime> idle_since_;
   std::unique_ptr<Timer> tick_timer_;
   std::unique_ptr<Timer> sweep_timer_;
 };
