Test bad input and kill -9 with real processes

The list of bad input and the death of an entry in mid-order were proved only in the core, not over sockets.

Half-sent requests are left open until the server closes them after its limit for silent connections, 60 s, so bad_input takes about 65 s; closing it from the caller's side would be quicker but would not show that the server lets go.

Not run: the sanitizer build.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -64,6 +64,15 @@
   endforeach()
 endfunction()
 
+# Tests with real processes: each script of tests/process/, given the programs.
+function(kcd_process_tests)
+  foreach(topic bad_input kill)
+    add_test(NAME process_${topic} COMMAND
+             ${CMAKE_SOURCE_DIR}/tests/process/${topic} ${CMAKE_BINARY_DIR})
+    set_tests_properties(process_${topic} PROPERTIES TIMEOUT 200 RUN_SERIAL ON)
+  endforeach()
+endfunction()
+
 # Benchmarks: each bench/NAME/ is one program, bench_NAME.
 function(kcd_benches)
   file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true
