Divide the store's budget by the serving entries, and name lease candidates

Cause: each entry assumed 8 entries for its share of the store's rates, and all tried for the placement lease, so that neither followed the fleet's size. Change: both follow the membership each second; three entries, by rendezvous hashing, try for the lease.

--- a/src/kingcupdrift/entry/internal/entry_impl.cc
+++ b/src/kingcupdrift/entry/internal/entry_impl.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kConfigFanout = 3;
 /// Workspaces whose usage goes into one gossip message.
 constexpr std::size_t kUsagePerGossip = 16;
+/// Entries that try for the placement lease.
+constexpr std::size_t kLeaseCandidates = 3;
 /// Key of the lease whose holder gives placement orders.
 constexpr const char* kPlacementLeaseKey = "/kingcupdrift/lease/placement/";
 
@@ -249,7 +251,20 @@
   gossip.usage = admission_.LocalUsage(kUsagePerGossip);
 }
 
+void Entry::Impl::ShareStoreWork() {
+  std::vector<InstanceId> serving;
+  for (const MemberRecord& it : membership_.Serving()) {
+    serving.push_back(it.id);
+  }
+  store_budget_.SetEntryCount(serving.size());
+  const std::vector<InstanceId> candidates =
+      RendezvousTop(kPlacementLeaseKey, serving, kLeaseCandidates);
+  lease_.SetCandidate(std::find(candidates.begin(), candidates.end(),
+                                settings_.instance) != candidates.end());
+}
+
 void Entry::Impl::Tick() {
+  ShareStoreWork();
   UpdateCapacity();
   UpdateMetrics();
   watcher_.Check();
--- a/src/kingcupdrift/entry/internal/entry_impl.h
+++ b/src/kingcupdrift/entry/internal/entry_impl.h
@@ -53,6 +53,9 @@
   void OnConfigApplied(const SiteConfig& config);
   void FillGossip(GossipMessage& gossip);
   void Tick();
+  /// Divides the store's rates among the entries that serve, and lets only a
+  /// few of them try for the lease.
+  void ShareStoreWork();
   void NoteIdle();
   void UpdateCapacity();
   void UpdateMetrics();
