Test stop, freeze and store outage with real processes

These states were reached only with a paused clock in one process; signals, the exit code and the store's refused connections need processes.

The question whether an entry is still named counts only with an answer that names the answering entry, so a failed call cannot pass for "not named". In stop, the stream must still run when the entry is no longer named.

Not run: the sanitizer build.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -66,7 +66,7 @@
 
 # Tests with real processes: each script of tests/process/, given the programs.
 function(kcd_process_tests)
-  foreach(topic bad_input kill)
+  foreach(topic bad_input kill stop freeze store_outage)
     add_test(NAME process_${topic} COMMAND
              ${CMAKE_SOURCE_DIR}/tests/process/${topic} ${CMAKE_BINARY_DIR})
     set_tests_properties(process_${topic} PROPERTIES TIMEOUT 200 RUN_SERIAL ON)
