Give the sanitizer build's test programs 20 minutes each

Cause: the scenario program takes 22 to 29 s by default; its run under address and undefined sanitizers had not ended after 165 s on this machine, near ctest's limit of 300 s, which is no bound of the product. Change: 1,200 s in the sanitizer build alone; the default build keeps 300 s. Result: both presets configure with these limits; no check or bound changed.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -59,7 +59,12 @@
         KINGCUPDRIFT_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
         KINGCUPDRIFT_BINARY_DIR="${CMAKE_BINARY_DIR}")
       add_test(NAME ${name} COMMAND kcd_${name}_test)
-      set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+      set(limit_seconds 300)
+      if(KINGCUPDRIFT_SANITIZE)
+        # Sanitizers slow the random walks down several times.
+        set(limit_seconds 1200)
+      endif()
+      set_tests_properties(${name} PROPERTIES TIMEOUT ${limit_seconds})
     endif()
   endforeach()
 endfunction()
