--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -27,6 +27,14 @@
   endif()
 endfunction()
 
+# The adapter to the users' platform, from platform/.
+function(kcd_platform)
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
+  add_library(kcd_platform STATIC ${sources})
+  target_include_directories(kcd_platform PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries(kcd_platform PUBLIC kcd_forwarding kcd_net)
+endfunction()
+
 # Fakes: tests/fakes/*.cc is a library without I/O (models driven by a clock);
 # tests/fakes/standin/*.cc is the program that serves them over HTTP.
 function(kcd_fakes)
@@ -53,7 +61,7 @@
       target_include_directories(kcd_${name}_test PRIVATE
                                  ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
       target_link_libraries(kcd_${name}_test PRIVATE kcd_fakes kcd_net kcd_cli
-                            doctest::doctest PkgConfig::LUA
+                            kcd_forwarding kcd_platform doctest::doctest PkgConfig::LUA
                             ${RAPIDCHECK_LIBRARY})
       target_compile_definitions(kcd_${name}_test PRIVATE
         KINGCUPDRIFT_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
--- a/src/kingcupdrift/net/internal/json_fields.cc
+++ b/src/kingcupdrift/api/json_fields.cc
@@ -1,4 +1,4 @@
-#include "kingcupdrift/net/internal/json_fields.h"
+#include "kingcupdrift/api/json_fields.h"
 
 #include <charconv>
 
--- a/src/kingcupdrift/net/internal/json_fields.h
+++ b/src/kingcupdrift/api/json_fields.h
@@ -1,5 +1,5 @@
-#ifndef KINGCUPDRIFT_NET_INTERNAL_JSON_FIELDS_H_
-#define KINGCUPDRIFT_NET_INTERNAL_JSON_FIELDS_H_
+#ifndef KINGCUPDRIFT_API_JSON_FIELDS_H_
+#define KINGCUPDRIFT_API_JSON_FIELDS_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -30,4 +30,4 @@
 
 }  // namespace kingcupdrift
 
-#endif  // KINGCUPDRIFT_NET_INTERNAL_JSON_FIELDS_H_
+#endif  // KINGCUPDRIFT_API_JSON_FIELDS_H_
--- a/src/kingcupdrift/cli/cli.h
+++ b/src/kingcupdrift/cli/cli.h
@@ -4,6 +4,8 @@
 /// @file
 /// Public header of the command line.
 
+#include <string>
+
 namespace kingcupdrift {
 
 /// Exit codes of the program.
@@ -22,8 +24,12 @@
   kUnknownEffect = 5,
 };
 
+/// Serves on the users' platform by the settings file named; returns the exit
+/// code.
+using ServePlatformFunction = int (*)(const std::string& settings_path);
+
 /// Runs one command and returns the process's exit code.
-int RunCommandLine(int argc, char** argv);
+int RunCommandLine(int argc, char** argv, ServePlatformFunction serve_platform);
 
 }  // namespace kingcupdrift
 
--- a/src/kingcupdrift/cli/internal/command_line.cc
+++ b/src/kingcupdrift/cli/internal/command_line.cc
@@ -13,8 +13,9 @@
   Command command;
 };
 
-constexpr std::array<NamedCommand, 10> kCommands = {{
+constexpr std::array<NamedCommand, 11> kCommands = {{
     {"serve", Command::kServe},
+    {"serve-platform", Command::kServePlatform},
     {"config check", Command::kConfigCheck},
     {"config show", Command::kConfigShow},
     {"config submit", Command::kConfigSubmit},
@@ -28,7 +29,8 @@
 
 constexpr std::string_view kVariablePrefix = "KINGCUPDRIFT_";
 constexpr std::string_view kCommandNames =
-    "serve, config check, config show, config submit, config approve, config "
+    "serve, serve-platform, config check, config show, config submit, config "
+    "approve, config "
     "history, config audit, timeline, version or help";
 
 std::optional<Command> FindCommand(std::string_view name) {
--- a/src/kingcupdrift/cli/internal/flag_table.cc
+++ b/src/kingcupdrift/cli/internal/flag_table.cc
@@ -40,6 +40,7 @@
           "0",
           "Seed of this instance's randomness; 0 draws one.");
 ABSL_FLAG(std::string, log_level, "info", "Lowest level that is logged.");
+ABSL_FLAG(std::string, config, "", "Settings file that the platform wrote.");
 ABSL_FLAG(std::string, base, "", "Base file.");
 ABSL_FLAG(std::string, overlay, "", "Overlay file of each site.");
 ABSL_FLAG(std::string, operator, "", "Name that the records will bear.");
@@ -194,7 +195,8 @@
        "LEVEL",
        "debug, info, warning or error",
        IsLogLevel,
-       {kServe}},
+       {kServe, kServePlatform}},
+      {"config", "FILE", "a file name", IsAnything, {kServePlatform}},
       {"base", "FILE", "a file name", IsAnything, on_files},
       {"overlay", "SITE=FILE,...", "SITE=FILE[,SITE=FILE...]", IsOverlayList,
        on_files},
--- a/src/kingcupdrift/cli/internal/flag_table.h
+++ b/src/kingcupdrift/cli/internal/flag_table.h
@@ -13,6 +13,7 @@
 /// Commands of the program.
 enum class Command {
   kServe,
+  kServePlatform,
   kConfigCheck,
   kConfigShow,
   kConfigSubmit,
--- a/src/kingcupdrift/cli/internal/help_text.cc
+++ b/src/kingcupdrift/cli/internal/help_text.cc
@@ -16,10 +16,13 @@
   std::string_view exit_codes;
 };
 
-constexpr std::array<CommandHelp, 10> kHelp = {{
+constexpr std::array<CommandHelp, 11> kHelp = {{
     {Command::kServe, "serve FLAGS", "Runs one instance until SIGTERM.",
      "0 stopped in good order, 2 wrong flag, 3 cannot listen, 4 requests were "
      "still running at the drain limit"},
+    {Command::kServePlatform, "serve-platform --config FILE",
+     "Runs one instance on the users' platform until SIGTERM.",
+     "0 stopped in good order, 2 wrong flag or settings file, 3 cannot listen"},
     {Command::kConfigCheck, "config check --base FILE --overlay SITE=FILE,...",
      "Checks files, without a running system.",
      "0 valid, 1 faults, 2 wrong "
--- a/src/kingcupdrift/cli/internal/run_command.cc
+++ b/src/kingcupdrift/cli/internal/run_command.cc
@@ -41,6 +41,7 @@
       case Command::kVersion:
         return Version();
       case Command::kServe:
+      case Command::kServePlatform:
       case Command::kHelp:
         break;
     }
@@ -225,6 +226,17 @@
   return serve(*settings);
 }
 
+int RunServePlatform(const ServePlatform& serve, std::ostream& err) {
+  const std::string path = FlagText("config");
+  if (path.empty()) {
+    err << "kingcupdrift: --config: not set; allowed: a file name, here or in "
+        << EnvironmentName("config") << '\n';
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  SetLogLevel(ChosenLogLevel());
+  return serve(path);
+}
+
 int RunHelp(const CommandLine& line, std::ostream& out, std::ostream& err) {
   if (line.command != Command::kHelp) {
     out << HelpOf(line.command);
@@ -249,7 +261,7 @@
 
 int RunCommand(const std::vector<std::string>& words,
                const Environment& environment,
-               const Serve& serve,
+               const Servers& servers,
                std::ostream& out,
                std::ostream& err) {
   const Result<CommandLine> line = ParseCommandLine(words, environment);
@@ -261,7 +273,10 @@
     return RunHelp(*line, out, err);
   }
   if (line->command == Command::kServe) {
-    return RunServe(serve, err);
+    return RunServe(servers.serve, err);
+  }
+  if (line->command == Command::kServePlatform) {
+    return RunServePlatform(servers.serve_platform, err);
   }
   const CommandIo io{out, err, FlagText("json") == "true"};
   return static_cast<int>(CommandRunner(*line, io).Run());
--- a/src/kingcupdrift/cli/internal/run_command.h
+++ b/src/kingcupdrift/cli/internal/run_command.h
@@ -15,10 +15,20 @@
 /// Runs one instance; returns the process's exit code.
 using Serve = std::function<int(const EntrySettings& settings)>;
 
+/// Runs one instance on the users' platform; `settings_path` names the settings
+/// file that the platform wrote.
+using ServePlatform = std::function<int(const std::string& settings_path)>;
+
+/// What the commands that serve run.
+struct Servers {
+  Serve serve;
+  ServePlatform serve_platform;
+};
+
 /// Runs one command from the words after the program's name.
 int RunCommand(const std::vector<std::string>& words,
                const Environment& environment,
-               const Serve& serve,
+               const Servers& servers,
                std::ostream& out,
                std::ostream& err);
 
--- a/src/kingcupdrift/cli/run_command_line.cc
+++ b/src/kingcupdrift/cli/run_command_line.cc
@@ -23,10 +23,13 @@
 
 }  // namespace
 
-int RunCommandLine(int argc, char** argv) {
+int RunCommandLine(int argc,
+                   char** argv,
+                   ServePlatformFunction serve_platform) {
   const std::vector<std::string> words(argv + 1, argv + argc);
-  return internal::RunCommand(words, ReadEnvironment(), RunEntryProcess,
-                              std::cout, std::cerr);
+  return internal::RunCommand(words, ReadEnvironment(),
+                              {RunEntryProcess, serve_platform}, std::cout,
+                              std::cerr);
 }
 
 }  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/forwarding/entry_board.h
@@ -0,0 +1,118 @@
+#ifndef KINGCUPDRIFT_FORWARDING_ENTRY_BOARD_H_
+#define KINGCUPDRIFT_FORWARDING_ENTRY_BOARD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+
+namespace kingcupdrift {
+
+/// How an entry can be reached.
+struct EntryRecord {
+  InstanceId id;
+  Endpoint peer_endpoint;
+  Endpoint caller_endpoint;
+  FailureDomain failure_domain;
+};
+
+/// The record as kept in the platform's store, and back. kInvalidArgument if
+/// the text is no record.
+std::string EncodeEntryRecord(const EntryRecord& record);
+Result<EntryRecord> DecodeEntryRecord(const std::string& text);
+
+/// What this entry tells the others about itself.
+struct OwnState {
+  StoreVersion store_version;
+  bool has_store = false;
+  bool is_leaving = false;
+};
+
+/// What arrives from other entries.
+class EntryBoardObserver {
+ public:
+  virtual ~EntryBoardObserver() = default;
+  virtual void OnWork(const InstanceId& owner, const WorkNote& note) = 0;
+  /// The entry is gone, or out of reach.
+  virtual void OnEntryLost(const InstanceId& entry) = 0;
+  virtual OwnState CurrentState() const = 0;
+  virtual StoreStateReplyMessage StateAfter(StoreVersion version) const = 0;
+  virtual void OnState(const StoreStateReplyMessage& state) = 0;
+};
+
+/// The other entries: who lives, what they work on, and who has seen more of
+/// the platform's store. Entries find each other in the store and then talk
+/// directly.
+class EntryBoard {
+ public:
+  EntryBoard(Clock& clock,
+             PeerLink& link,
+             EntryRecord own,
+             EntryBoardObserver& observer);
+
+  void Start();
+  /// `key` names the record in the store.
+  void Update(const std::string& key, const EntryRecord& record);
+  void Remove(const std::string& key);
+
+  /// Tells all entries, together with what else comes within `kBatchDelay`.
+  void Announce(WorkNote note);
+  /// Tells all entries the own state now.
+  void AnnounceState();
+
+  /// Entries that take new callers, this one included unless it is leaving.
+  std::vector<Endpoint> CallerEndpoints() const;
+  /// Entries in use, this one included.
+  std::size_t EntryCount() const;
+
+  /// Notes of one batch leave this long after the first: short against the time
+  /// in which a second entry might choose the same engine.
+  static constexpr Duration kBatchDelay = std::chrono::milliseconds(1);
+  /// Every entry tells its state this often.
+  static constexpr Duration kStateInterval = std::chrono::milliseconds(400);
+  /// An entry that said nothing for three states and a margin is out of reach.
+  static constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
+  /// A peer may be ahead this long before it is asked for its copy: the own
+  /// watch usually brings the same.
+  static constexpr Duration kMaxLag = std::chrono::milliseconds(600);
+
+ private:
+  struct Peer {
+    EntryRecord record;
+    std::set<std::string> keys;
+    MonotonicTime last_heard{};
+    bool is_heard = false;
+    bool is_lost = false;
+    bool is_leaving = false;
+  };
+
+  void Receive(const PeerMessage& message);
+  void TakeNotes(const InstanceId& sender, const WorkNotesMessage& message);
+  void AskIfBehind(const Peer& peer, const WorkNotesMessage& message);
+  void Flush();
+  void Tick();
+  void Send(const Endpoint& peer, PeerPayload payload);
+  WorkNotesMessage StateMessage() const;
+  Peer* FindPeer(const InstanceId& id);
+
+  Clock& clock_;
+  PeerLink& link_;
+  EntryRecord own_;
+  EntryBoardObserver& observer_;
+  std::map<InstanceId, Peer> peers_;
+  std::vector<WorkNote> pending_;
+  // Since when some peer has been ahead of the own copy.
+  std::optional<MonotonicTime> behind_since_;
+  std::unique_ptr<Timer> flush_timer_;
+  std::unique_ptr<Timer> tick_timer_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_FORWARDING_ENTRY_BOARD_H_
--- /dev/null
+++ b/src/kingcupdrift/forwarding/event_cutter.cc
@@ -0,0 +1,92 @@
+#include "kingcupdrift/forwarding/event_cutter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace kingcupdrift {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+/// Length of the first whole event in `bytes`, its blank line included; 0 if
+/// there is none.
+std::size_t FirstEventSize(std::string_view bytes) {
+  const std::size_t plain = bytes.find("\n\n");
+  const std::size_t crlf = bytes.find("\r\n\r\n");
+  const std::size_t none = std::string_view::npos;
+  if (plain == none && crlf == none) {
+    return 0;
+  }
+  return crlf < plain ? crlf + 4 : plain + 2;
+}
+
+std::optional<std::uint64_t> EventId(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(std::min(end + 1, event.size()));
+    if (!line.starts_with(kIdField)) {
+      continue;
+    }
+    line.remove_prefix(kIdField.size());
+    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+    std::uint64_t id = 0;
+    const auto result =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (result.ec == std::errc()) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Result<std::string> EventCutter::Feed(std::string_view bytes) {
+  pending_ += bytes;
+  std::string whole;
+  std::size_t start = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(pending_).substr(start);
+    const std::size_t size = FirstEventSize(rest);
+    if (size == 0) {
+      break;
+    }
+    const Result<Verdict> verdict = Check(rest.substr(0, size));
+    if (!verdict) {
+      return tl::unexpected(verdict.error());
+    }
+    if (*verdict == Verdict::kPass) {
+      whole += rest.substr(0, size);
+    }
+    start += size;
+  }
+  pending_.erase(0, start);
+  if (pending_.size() > kMaxEventBytes) {
+    return MakeError(ErrorCode::kProtocol, "an event is too large");
+  }
+  return whole;
+}
+
+void EventCutter::StartRun() {
+  pending_.clear();
+  is_resumed_ = last_event_.has_value();
+}
+
+Result<EventCutter::Verdict> EventCutter::Check(std::string_view event) {
+  const std::optional<std::uint64_t> id = EventId(event);
+  if (!id) {
+    return Verdict::kPass;
+  }
+  if (is_resumed_ && *id <= *last_event_) {
+    return Verdict::kDrop;
+  }
+  if (is_resumed_ && *id != *last_event_ + 1) {
+    return MakeError(ErrorCode::kProtocol, "a resumed stream skips events");
+  }
+  last_event_ = id;
+  is_resumed_ = true;
+  return Verdict::kPass;
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/forwarding/forward_refusal.cc
@@ -0,0 +1,49 @@
+#include "kingcupdrift/interfaces/forward_sink.h"
+
+namespace kingcupdrift {
+
+std::string_view RefusalName(ForwardRefusalType type) {
+  switch (type) {
+    case ForwardRefusalType::kNotReady:
+      return "not_ready";
+    case ForwardRefusalType::kBadRequest:
+      return "bad_request";
+    case ForwardRefusalType::kUnknownKey:
+      return "unknown_key";
+    case ForwardRefusalType::kNoRoute:
+      return "no_route";
+    case ForwardRefusalType::kOverloaded:
+      return "overloaded";
+    case ForwardRefusalType::kNoTarget:
+      return "no_target";
+    case ForwardRefusalType::kTimeLimitNotSent:
+      return "time_limit_not_sent";
+    case ForwardRefusalType::kTimeLimitSent:
+      return "time_limit_sent";
+    case ForwardRefusalType::kTargetFailed:
+      return "target_failed";
+    case ForwardRefusalType::kTargetDeclined:
+      return "target_declined";
+  }
+  return "unknown";
+}
+
+bool IsNotRunPromise(ForwardRefusalType type) {
+  switch (type) {
+    case ForwardRefusalType::kNotReady:
+    case ForwardRefusalType::kOverloaded:
+    case ForwardRefusalType::kNoTarget:
+    case ForwardRefusalType::kTimeLimitNotSent:
+    case ForwardRefusalType::kTargetDeclined:
+      return true;
+    case ForwardRefusalType::kBadRequest:
+    case ForwardRefusalType::kUnknownKey:
+    case ForwardRefusalType::kNoRoute:
+    case ForwardRefusalType::kTimeLimitSent:
+    case ForwardRefusalType::kTargetFailed:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -0,0 +1,126 @@
+#include "kingcupdrift/forwarding/forwarder.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "kingcupdrift/forwarding/internal/forward_context.h"
+#include "kingcupdrift/forwarding/internal/forward_request.h"
+
+namespace kingcupdrift {
+namespace {
+
+class ForwarderImpl : public Forwarder {
+ public:
+  ForwarderImpl(const ForwarderSettings& settings,
+                const ForwarderDependencies& dependencies)
+      : context_(settings, dependencies), deferred_(dependencies.clock) {
+    context_.work_listener = [](const WorkNote&) {};
+  }
+
+  void Handle(ForwardCall call, std::unique_ptr<ForwardSink> sink) override {
+    const std::uint64_t number = next_request_++;
+    auto request = std::make_unique<ForwardRequest>(
+        context_, std::move(call), std::move(sink),
+        [this, number] { Retire(number); });
+    ForwardRequest& started = *request;
+    requests_[number] = std::move(request);
+    started.Start();
+  }
+
+  void UseConfig(ServingConfig config) override {
+    if (context_.table && config.version <= context_.table->config().version) {
+      return;
+    }
+    context_.log.Add("forward", "config")
+        .Number("version", config.version.value())
+        .Number("routes", static_cast<std::int64_t>(config.routes.size()))
+        .Number("keys",
+                static_cast<std::int64_t>(config.workspace_of_key.size()));
+    context_.table = std::make_shared<const RouteTable>(std::move(config));
+  }
+
+  const ServingConfig* config() const override {
+    return context_.table ? &context_.table->config() : nullptr;
+  }
+
+  void UpdateTarget(const TargetRecord& record) override {
+    context_.log.Add("forward", "target")
+        .Text("target", record.address.id.value())
+        .Text("service", record.service.value())
+        .Text("state", record.is_leaving ? "leaving" : "ready");
+    context_.directory.Update(record);
+    context_.queue.Wake();
+  }
+
+  void RemoveTarget(const EngineId& id, bool is_certain) override {
+    context_.log.Add("forward", "target")
+        .Text("target", id.value())
+        .Text("state", is_certain ? "gone" : "lapsed");
+    if (is_certain) {
+      context_.directory.Remove(id);
+    } else {
+      context_.directory.RemoveLater(id);
+    }
+  }
+
+  void OnWorkSent(WorkListener listener) override {
+    context_.work_listener = std::move(listener);
+  }
+
+  void ApplyPeerWork(const InstanceId& owner, const WorkNote& note) override {
+    context_.book.Apply(owner, note);
+    if (note.phase != WorkPhase::kReading) {
+      context_.queue.Wake();
+    }
+  }
+
+  void RemovePeer(const InstanceId& owner) override {
+    context_.book.RemoveOwner(owner);
+    context_.queue.Wake();
+  }
+
+  void SetEntryCount(std::size_t count) override {
+    context_.entry_count = count;
+  }
+
+  std::size_t RequestsInProgress() const override { return requests_.size(); }
+
+  std::string MetricsText() const override {
+    std::string out = "# TYPE kingcupdrift_forwarded_total counter\n";
+    for (const auto& [outcome, count] : context_.outcomes) {
+      out += "kingcupdrift_forwarded_total{outcome=\"" + outcome + "\"} " +
+             std::to_string(count) + "\n";
+    }
+    const auto add_gauge = [&out](const std::string& name, std::size_t value) {
+      out += "# TYPE " + name + " gauge\n" + name + " " +
+             std::to_string(value) + "\n";
+    };
+    add_gauge("kingcupdrift_requests_in_progress", requests_.size());
+    add_gauge("kingcupdrift_requests_waiting", context_.queue.size());
+    add_gauge("kingcupdrift_entries", context_.entry_count);
+    add_gauge("kingcupdrift_log_lines_dropped", context_.log.dropped());
+    return out;
+  }
+
+ private:
+  // The request may be in the middle of a callback.
+  void Retire(std::uint64_t number) {
+    deferred_.Run([this, number] { requests_.erase(number); });
+  }
+
+  ForwardContext context_;
+  std::uint64_t next_request_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<ForwardRequest>> requests_;
+  DeferredCalls deferred_;
+};
+
+}  // namespace
+
+std::unique_ptr<Forwarder> Forwarder::Create(
+    const ForwarderSettings& settings,
+    const ForwarderDependencies& dependencies) {
+  return std::make_unique<ForwarderImpl>(settings, dependencies);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -0,0 +1,71 @@
+#ifndef KINGCUPDRIFT_FORWARDING_FORWARDER_H_
+#define KINGCUPDRIFT_FORWARDING_FORWARDER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/forwarding/route_table.h"
+#include "kingcupdrift/forwarding/send_budget.h"
+#include "kingcupdrift/forwarding/target_directory.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/telemetry/telemetry.h"
+
+namespace kingcupdrift {
+
+struct ForwarderSettings {
+  /// Names this entry's sends towards other entries.
+  InstanceId instance;
+  FailureDomain failure_domain;
+  SendBudgetSettings budget;
+};
+
+/// Outlive the forwarder.
+struct ForwarderDependencies {
+  Clock& clock;
+  Random& random;
+  TargetClient& targets;
+  DecisionLog& log;
+};
+
+/// Passes callers' requests on to targets and owns the outcome of each: where
+/// it goes, how long it waits, whether it is sent again, and what its caller is
+/// told.
+class Forwarder {
+ public:
+  /// Told what this entry sends, for the other entries.
+  using WorkListener = std::function<void(const WorkNote&)>;
+
+  virtual ~Forwarder() = default;
+
+  static std::unique_ptr<Forwarder> Create(
+      const ForwarderSettings& settings,
+      const ForwarderDependencies& dependencies);
+
+  /// Handles one request to its end.
+  virtual void Handle(ForwardCall call, std::unique_ptr<ForwardSink> sink) = 0;
+
+  /// Takes a configuration into use unless a newer one is.
+  virtual void UseConfig(ServingConfig config) = 0;
+  /// Null before the first configuration.
+  virtual const ServingConfig* config() const = 0;
+
+  virtual void UpdateTarget(const TargetRecord& record) = 0;
+  /// `is_certain`: false if the list that misses the target may be incomplete.
+  virtual void RemoveTarget(const EngineId& id, bool is_certain) = 0;
+
+  virtual void OnWorkSent(WorkListener listener) = 0;
+  virtual void ApplyPeerWork(const InstanceId& owner, const WorkNote& note) = 0;
+  virtual void RemovePeer(const InstanceId& owner) = 0;
+  /// Entries that share the budget of further sends, this one included.
+  virtual void SetEntryCount(std::size_t count) = 0;
+
+  virtual std::size_t RequestsInProgress() const = 0;
+  /// Text exposition format of the counters.
+  virtual std::string MetricsText() const = 0;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_FORWARDING_FORWARDER_H_
--- /dev/null
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -0,0 +1,55 @@
+#ifndef KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_CONTEXT_H_
+#define KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_CONTEXT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "kingcupdrift/forwarding/forwarder.h"
+#include "kingcupdrift/forwarding/internal/wait_queue.h"
+#include "kingcupdrift/forwarding/target_health.h"
+#include "kingcupdrift/routing/routing.h"
+
+namespace kingcupdrift {
+
+/// What the requests of one forwarder share.
+struct ForwardContext {
+  ForwardContext(const ForwarderSettings& settings_in,
+                 const ForwarderDependencies& dependencies)
+      : settings(settings_in),
+        clock(dependencies.clock),
+        random(dependencies.random),
+        targets(dependencies.targets),
+        log(dependencies.log),
+        directory(clock),
+        health(clock),
+        book(clock),
+        budget(clock, settings_in.budget),
+        queue(clock) {}
+
+  ForwarderSettings settings;
+  Clock& clock;
+  Random& random;
+  TargetClient& targets;
+  DecisionLog& log;
+  // Shared with requests, which keep the configuration that they began with.
+  std::shared_ptr<const RouteTable> table;
+  TargetDirectory directory;
+  TargetHealth health;
+  WorkBook book;
+  SendBudget budget;
+  WaitQueue queue;
+  std::size_t entry_count = 1;
+  /// Own sends to plain targets that are under way.
+  std::map<EngineId, int> sends_in_progress;
+  Forwarder::WorkListener work_listener;
+  std::uint64_t next_attempt = 0;
+  std::map<std::string, std::uint64_t> outcomes;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_CONTEXT_H_
--- /dev/null
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -0,0 +1,118 @@
+#ifndef KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_REQUEST_H_
+#define KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_REQUEST_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "kingcupdrift/forwarding/internal/forward_attempt.h"
+#include "kingcupdrift/forwarding/internal/forward_context.h"
+
+namespace kingcupdrift {
+
+/// One forwarded request, from its arrival to its outcome.
+class ForwardRequest : public AttemptOwner, public Waiter {
+ public:
+  /// `on_done` is called once; the request is destroyed in a later turn.
+  ForwardRequest(ForwardContext& context,
+                 ForwardCall call,
+                 std::unique_ptr<ForwardSink> sink,
+                 std::function<void()> on_done);
+  ~ForwardRequest() override;
+
+  void Start();
+
+  bool TryAgain() override;
+  void OnStreamBegin(int status, const HeaderList& headers) override;
+  void OnStreamEvents(const std::string& events) override;
+  void OnAttemptEnd(ForwardAttemptResult result) override;
+
+  /// A further send must leave the target this much time: below, even an idle
+  /// one cannot answer.
+  static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(40);
+  /// Sends that reached no target cost nothing; bounds how many are tried.
+  static constexpr int kMaxUnsent = 4;
+  /// An answer that may be repeated is awaited this many target latencies.
+  static constexpr int kAnswerPatience = 3;
+  /// A stream's next event is awaited this many of the caller's longest pauses.
+  static constexpr int kPausePatience = 4;
+  /// Engines stall this long for another engine that died, then give up.
+  static constexpr Duration kMinPausePatience = std::chrono::milliseconds(1700);
+  /// A caller's connection that holds more than this pauses the target.
+  static constexpr ByteCount kMaxUnsentBytes{256'000};
+
+ private:
+  /// A place to send to.
+  struct Choice {
+    EngineAddress target;
+    std::vector<PromptHelper> helpers;
+    Duration part_time{0};
+    Duration predicted_first{0};
+  };
+  enum class Placed { kYes, kWait, kNever };
+
+  bool Admit();
+  bool TryPlace();
+  Placed Choose(Choice& choice);
+  Placed ChoosePlain(const std::vector<const TargetRecord*>& targets,
+                     Choice& choice);
+  Placed ChooseEngine(const std::vector<const TargetRecord*>& targets,
+                      const EngineTiming& timing,
+                      Choice& choice);
+  std::vector<const TargetRecord*> Targets();
+  void Wait();
+  void Send(const Choice& choice);
+  AttemptLimits LimitsFor(const Choice& choice) const;
+
+  void AnnounceWork(const Choice& choice);
+  void AnnouncePhase(WorkPhase phase);
+  void EndAttempt();
+
+  void HandleDeclined(const ForwardAttemptResult& result);
+  void HandleBroken(const ForwardAttemptResult& result);
+  bool CanRepeat() const;
+  /// Places the request again; false if it must end.
+  bool SendAgain(bool counts_as_further_send);
+
+  void HandleTimeLimit();
+  void HandleClosed();
+  void Refuse(ForwardRefusalType type, std::string_view reason);
+  void FailOrRefuse(std::string_view reason);
+  void Finish(std::string_view outcome, std::string_view reason);
+
+  Duration TimeLeft() const;
+  PromptDemand Demand() const;
+
+  ForwardContext& context_;
+  ForwardCall call_;
+  std::unique_ptr<ForwardSink> sink_;
+  std::function<void()> on_done_;
+  std::shared_ptr<const RouteTable> table_;
+  const RouteRule* route_ = nullptr;
+  ServiceId service_;
+  WorkspaceId workspace_;
+  MonotonicTime arrival_;
+  MonotonicTime deadline_;
+  std::unique_ptr<Timer> deadline_timer_;
+  std::optional<EventCutter> cutter_;
+  std::unique_ptr<ForwardAttempt> attempt_;
+  // Ended attempts, kept until the callbacks in progress have returned.
+  std::vector<std::unique_ptr<ForwardAttempt>> ended_attempts_;
+  AttemptId attempt_id_;
+  bool is_announced_ = false;
+  std::set<EngineId> tried_;
+  int sends_ = 0;
+  int unsent_ = 0;
+  bool is_waiting_ = false;
+  bool may_have_run_ = false;
+  bool has_begun_ = false;
+  bool is_done_ = false;
+  Duration first_event_{0};
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_REQUEST_H_
--- /dev/null
+++ b/src/kingcupdrift/forwarding/internal/wait_queue.cc
@@ -0,0 +1,59 @@
+#include "kingcupdrift/forwarding/internal/wait_queue.h"
+
+#include <vector>
+
+namespace kingcupdrift {
+
+void WaitQueue::Add(Waiter& waiter, Duration work) {
+  const Key key{work, next_number_++};
+  rows_[key] = &waiter;
+  keys_[&waiter] = key;
+  if (!timer_) {
+    Schedule(kInterval);
+  }
+}
+
+void WaitQueue::Remove(Waiter& waiter) {
+  const auto it = keys_.find(&waiter);
+  if (it != keys_.end()) {
+    rows_.erase(it->second);
+    keys_.erase(it);
+  }
+}
+
+void WaitQueue::Wake() {
+  if (!rows_.empty() && !is_woken_) {
+    is_woken_ = true;
+    Schedule(Duration::zero());
+  }
+}
+
+void WaitQueue::Schedule(Duration delay) {
+  timer_ = clock_.RunAfter(delay, [this] { Run(); });
+}
+
+void WaitQueue::Run() {
+  timer_.reset();
+  is_woken_ = false;
+  std::vector<Key> keys;
+  keys.reserve(rows_.size());
+  for (const auto& [key, waiter] : rows_) {
+    keys.push_back(key);
+  }
+  for (const Key& key : keys) {
+    // An earlier one may have ended it.
+    const auto it = rows_.find(key);
+    if (it == rows_.end()) {
+      continue;
+    }
+    Waiter& waiter = *it->second;
+    if (waiter.TryAgain()) {
+      Remove(waiter);
+    }
+  }
+  if (!rows_.empty() && !timer_) {
+    Schedule(kInterval);
+  }
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/forwarding/route_table.cc
@@ -0,0 +1,53 @@
+#include "kingcupdrift/forwarding/route_table.h"
+
+#include <utility>
+
+namespace kingcupdrift {
+
+RouteTable::RouteTable(ServingConfig config) : config_(std::move(config)) {
+  for (std::size_t i = 0; i < config_.routes.size(); ++i) {
+    const RouteRule& route = config_.routes[i];
+    by_host_[route.host][route.prefix] = i;
+  }
+}
+
+const RouteRule* RouteTable::Find(const std::string& host,
+                                  std::string_view target) const {
+  const auto routes = by_host_.find(host);
+  if (routes == by_host_.end()) {
+    return nullptr;
+  }
+  std::string_view path = target.substr(0, target.find_first_of("?#"));
+  while (!path.empty()) {
+    const std::size_t slash = path.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    path = path.substr(0, slash + 1);
+    const auto it = routes->second.find(path);
+    if (it != routes->second.end()) {
+      return &config_.routes[it->second];
+    }
+    path.remove_suffix(1);
+  }
+  return nullptr;
+}
+
+const ServiceId& RouteTable::ChooseService(const RouteRule& route,
+                                           Random& random) {
+  std::uint64_t total = 0;
+  for (const ServiceShare& it : route.shares) {
+    total += static_cast<std::uint64_t>(it.weight);
+  }
+  std::uint64_t drawn = random.Below(total);
+  for (const ServiceShare& it : route.shares) {
+    const auto weight = static_cast<std::uint64_t>(it.weight);
+    if (drawn < weight) {
+      return it.service;
+    }
+    drawn -= weight;
+  }
+  return route.shares.back().service;
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/forwarding/send_budget.cc
@@ -0,0 +1,36 @@
+#include "kingcupdrift/forwarding/send_budget.h"
+
+#include <algorithm>
+
+namespace kingcupdrift {
+
+void SendBudget::CountRequest(const ServiceId& service) {
+  std::deque<MonotonicTime>& requests = rows_[service].requests;
+  Expire(requests);
+  requests.push_back(clock_.Now());
+}
+
+bool SendBudget::TryTake(const ServiceId& service, std::size_t entries) {
+  Row& row = rows_[service];
+  Expire(row.requests);
+  Expire(row.sends);
+  const double share = static_cast<double>(settings_.extra) /
+                       static_cast<double>(std::max<std::size_t>(entries, 1));
+  const double from_requests =
+      settings_.ratio * static_cast<double>(row.requests.size());
+  const double limit = kUsableShare * (share + from_requests);
+  if (static_cast<double>(row.sends.size()) + 1 > limit) {
+    return false;
+  }
+  row.sends.push_back(clock_.Now());
+  return true;
+}
+
+void SendBudget::Expire(std::deque<MonotonicTime>& times) const {
+  const MonotonicTime oldest = clock_.Now() - settings_.window;
+  while (!times.empty() && times.front() < oldest) {
+    times.pop_front();
+  }
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/forwarding/state_decoder.h
@@ -0,0 +1,32 @@
+#ifndef KINGCUPDRIFT_FORWARDING_STATE_DECODER_H_
+#define KINGCUPDRIFT_FORWARDING_STATE_DECODER_H_
+
+#include <string>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/forwarding/serving_config.h"
+#include "kingcupdrift/forwarding/target_directory.h"
+
+namespace kingcupdrift {
+
+enum class ItemKind { kConfig, kTarget, kOther };
+
+/// Reads what operators and targets keep in the platform's store.
+class StateDecoder {
+ public:
+  virtual ~StateDecoder() = default;
+
+  virtual ItemKind KindOf(const std::string& key) const = 0;
+  /// The target that `key`, of kind kTarget, is about.
+  virtual EngineId TargetOf(const std::string& key) const = 0;
+  /// kInvalidArgument if the value is no configuration.
+  virtual Result<ServingConfig> DecodeConfig(
+      const std::string& value) const = 0;
+  /// kInvalidArgument if the value names no target to use.
+  virtual Result<TargetRecord> DecodeTarget(const std::string& key,
+                                            const std::string& value) const = 0;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_FORWARDING_STATE_DECODER_H_
--- /dev/null
+++ b/src/kingcupdrift/forwarding/target_directory.h
@@ -0,0 +1,60 @@
+#ifndef KINGCUPDRIFT_FORWARDING_TARGET_DIRECTORY_H_
+#define KINGCUPDRIFT_FORWARDING_TARGET_DIRECTORY_H_
+
+#include <map>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/interfaces.h"
+
+namespace kingcupdrift {
+
+/// One target as the platform lists it.
+struct TargetRecord {
+  EngineAddress address;
+  ServiceId service;
+  FailureDomain failure_domain;
+  /// Requests that it processes at the same time.
+  int slots = 1;
+  /// It takes no new requests.
+  bool is_leaving = false;
+};
+
+/// The targets that requests may be sent to.
+class TargetDirectory {
+ public:
+  explicit TargetDirectory(const Clock& clock) : clock_(clock) {}
+
+  void Update(const TargetRecord& record);
+  /// The target is no longer listed.
+  void Remove(const EngineId& id);
+  /// The target is no longer listed, perhaps only because the platform's store
+  /// was away. It stays in use until `kLapseLimit` passes without an update.
+  void RemoveLater(const EngineId& id);
+
+  /// Targets of `service` that take new requests, by identifier.
+  std::vector<const TargetRecord*> Usable(const ServiceId& service);
+  /// The target if it is listed; null otherwise.
+  const TargetRecord* Find(const EngineId& id) const;
+  bool IsUsable(const EngineId& id);
+
+  /// Targets that live are listed again within 2 s of the store's return, as
+  /// its operators state.
+  static constexpr Duration kLapseLimit = std::chrono::seconds(2);
+
+ private:
+  struct Row {
+    TargetRecord record;
+    bool is_lapsed = false;
+    MonotonicTime lapses_at{};
+  };
+
+  bool IsUsable(const Row& row) const;
+
+  const Clock& clock_;
+  std::map<EngineId, Row> rows_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_FORWARDING_TARGET_DIRECTORY_H_
--- /dev/null
+++ b/src/kingcupdrift/forwarding/target_health.h
@@ -0,0 +1,38 @@
+#ifndef KINGCUPDRIFT_FORWARDING_TARGET_HEALTH_H_
+#define KINGCUPDRIFT_FORWARDING_TARGET_HEALTH_H_
+
+#include <map>
+
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift {
+
+/// Which targets failed lately. A doubted target is chosen only if no other can
+/// be; its doubt ends by itself or by a success.
+class TargetHealth {
+ public:
+  explicit TargetHealth(const Clock& clock) : clock_(clock) {}
+
+  void OnSuccess(const EngineId& target);
+  void OnFailure(const EngineId& target);
+  bool IsDoubted(const EngineId& target) const;
+
+  /// Doubt after one failure; doubles with each further one in a row. As long
+  /// as a connection attempt to a silent target takes at most.
+  static constexpr Duration kMinDoubt = std::chrono::milliseconds(500);
+  /// Engines that start again are back after a few seconds.
+  static constexpr Duration kMaxDoubt = std::chrono::seconds(4);
+
+ private:
+  struct Row {
+    int failures = 0;
+    MonotonicTime doubted_until{};
+  };
+
+  const Clock& clock_;
+  std::map<EngineId, Row> rows_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_FORWARDING_TARGET_HEALTH_H_
--- /dev/null
+++ b/src/kingcupdrift/interfaces/forward_call.h
@@ -0,0 +1,47 @@
+#ifndef KINGCUPDRIFT_INTERFACES_FORWARD_CALL_H_
+#define KINGCUPDRIFT_INTERFACES_FORWARD_CALL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/service_client.h"
+
+namespace kingcupdrift {
+
+/// Size of a model prompt as its caller declared it; the body is not read.
+struct PromptSize {
+  TokenCount prompt;
+  /// Most tokens that the answer may have.
+  TokenCount max_output;
+  /// The caller's estimate of the answer; `max_output` without one.
+  TokenCount expected_output;
+};
+
+/// A caller's request that is passed on unread.
+struct ForwardCall {
+  /// Chosen by the caller for this attempt.
+  RequestId id;
+  std::string host;
+  std::string method;
+  /// Path and query, as the caller sent them.
+  std::string target;
+  /// Headers for the target, without those of the caller's connection and
+  /// without those that the front decodes.
+  HeaderList headers;
+  /// Never null.
+  SharedBytes body;
+  /// The caller's secret key; empty without one.
+  std::string key;
+  /// How long the caller waits, from arrival; absent without a limit.
+  std::optional<Duration> time_limit;
+  /// Present for model prompts.
+  std::optional<PromptSize> prompt;
+  /// The caller already has the events up to this one.
+  std::optional<std::uint64_t> last_event;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_INTERFACES_FORWARD_CALL_H_
--- a/src/kingcupdrift/interfaces/interfaces.h
+++ b/src/kingcupdrift/interfaces/interfaces.h
@@ -7,9 +7,12 @@
 #include "kingcupdrift/interfaces/caller_calls.h"    // IWYU pragma: export
 #include "kingcupdrift/interfaces/caller_sink.h"     // IWYU pragma: export
 #include "kingcupdrift/interfaces/engine_client.h"   // IWYU pragma: export
+#include "kingcupdrift/interfaces/forward_call.h"    // IWYU pragma: export
+#include "kingcupdrift/interfaces/forward_sink.h"    // IWYU pragma: export
 #include "kingcupdrift/interfaces/instance_list.h"   // IWYU pragma: export
 #include "kingcupdrift/interfaces/peer_link.h"       // IWYU pragma: export
 #include "kingcupdrift/interfaces/platform_store.h"  // IWYU pragma: export
 #include "kingcupdrift/interfaces/service_client.h"  // IWYU pragma: export
+#include "kingcupdrift/interfaces/target_client.h"   // IWYU pragma: export
 
 #endif  // KINGCUPDRIFT_INTERFACES_INTERFACES_H_
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -94,12 +95,72 @@
   std::vector<DispatchNote> notes;
 };
 
+enum class WorkPhase {
+  /// Sent to an engine, which still reads the prompt.
+  kReading,
+  /// The first event came.
+  kWriting,
+  /// Nothing of it is left at any engine.
+  kEnded,
+};
+
+/// What one forwarded prompt occupies at engines. Sent whole at `kReading`;
+/// later phases name the work only.
+struct WorkNote {
+  /// Unique for one send.
+  AttemptId attempt;
+  WorkPhase phase = WorkPhase::kReading;
+  /// Reads a part, holds the prompt and writes the answer.
+  EngineId engine;
+  /// Read a part each.
+  std::vector<EngineId> helpers;
+  TokenCount prompt;
+  TokenCount output;
+  /// Longest pause between events that its caller accepts.
+  Duration pause_limit{0};
+  /// Reading time at each of these engines, if nothing else runs there.
+  Duration part_time{0};
+};
+
+/// Work that the sender started, moved on or ended, and what it knows.
+struct WorkNotesMessage {
+  std::vector<WorkNote> notes;
+  /// The sender takes no new connections.
+  bool is_leaving = false;
+  /// Version of the platform's store that the sender has seen.
+  StoreVersion store_version;
+  /// The sender's store watch works.
+  bool has_store = false;
+};
+
+/// Asks a peer for what it knows of the platform's store after `version`.
+struct StoreStateRequestMessage {
+  StoreVersion version;
+};
+
+/// One value of the store as a peer knows it.
+struct StoreStateItem {
+  std::string key;
+  StoreVersion version;
+  /// Absent if the asker has it already.
+  std::optional<std::string> value;
+};
+
+/// All that a peer knows of the store.
+struct StoreStateReplyMessage {
+  StoreVersion version;
+  std::vector<StoreStateItem> items;
+};
+
 using PeerPayload = std::variant<GossipMessage,
                                  ProbeMessage,
                                  ProbeReplyMessage,
                                  ConfigRequestMessage,
                                  ConfigReplyMessage,
-                                 DispatchNotesMessage>;
+                                 DispatchNotesMessage,
+                                 WorkNotesMessage,
+                                 StoreStateRequestMessage,
+                                 StoreStateReplyMessage>;
 
 /// A message between entries.
 struct PeerMessage {
--- a/src/kingcupdrift/interfaces/platform_store.h
+++ b/src/kingcupdrift/interfaces/platform_store.h
@@ -17,7 +17,8 @@
   StoreVersion version;
 };
 
-/// A change seen by a watch. `value` is empty when the key was deleted.
+/// A change seen by a watch. `value` is empty when the key was deleted. An
+/// empty `key` reports no change, only that the watch has reached `version`.
 struct StoreEvent {
   std::string key;
   std::optional<StoreValue> value;
@@ -29,6 +30,12 @@
   StoreValue value;
 };
 
+/// Values below a prefix. A watch after `version` misses no later change.
+struct StoreListing {
+  std::vector<StoreEntry> entries;
+  StoreVersion version;
+};
+
 /// A running watch. Destroying it stops the events.
 class StoreWatch {
  public:
@@ -45,7 +52,7 @@
  public:
   using GetCallback =
       std::function<void(Result<std::optional<StoreValue>> value)>;
-  using ListCallback = std::function<void(Result<std::vector<StoreEntry>>)>;
+  using ListCallback = std::function<void(Result<StoreListing>)>;
   using WriteCallback = std::function<void(Result<StoreVersion> written)>;
   using LeaseCallback = std::function<void(Result<LeaseId> lease)>;
   using DoneCallback = std::function<void(Result<void> done)>;
--- a/src/kingcupdrift/net/engine_http_client.cc
+++ b/src/kingcupdrift/net/engine_http_client.cc
@@ -3,9 +3,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "kingcupdrift/api/json_fields.h"
 #include "kingcupdrift/net/internal/engine_protocol.h"
 #include "kingcupdrift/net/internal/engine_stream.h"
-#include "kingcupdrift/net/internal/json_fields.h"
 
 namespace kingcupdrift {
 namespace {
--- a/src/kingcupdrift/net/http_client.h
+++ b/src/kingcupdrift/net/http_client.h
@@ -18,6 +18,7 @@
   Endpoint server;
   std::string method = "GET";
   std::string target = "/";
+  /// A "Host" among them goes before the server's address.
   HeaderList headers;
   /// Sent without a copy.
   BodySlices body;
--- a/src/kingcupdrift/net/http_server.cc
+++ b/src/kingcupdrift/net/http_server.cc
@@ -22,10 +22,7 @@
   Result<void> Bind(const Endpoint& endpoint,
                     const HttpServerSettings& settings) {
     evhttp* const http = http_.get();
-    evhttp_set_max_headers_size(http, settings.max_header_bytes.value());
-    evhttp_set_max_body_size(http, settings.max_body_bytes.value());
-    const timeval limit = ToTimeval(settings.silence_limit);
-    evhttp_set_timeout_tv(http, &limit);
+    SetLimits(settings);
     evhttp_set_default_content_type(http, nullptr);
     evhttp_set_allowed_methods(http, kAllHttpMethods);
     evhttp_set_gencb(http, &HandleRequest, this);
@@ -40,6 +37,15 @@
   }
 
   Endpoint endpoint() const override { return endpoint_; }
+
+  void SetLimits(const HttpServerSettings& settings) override {
+    evhttp* const http = http_.get();
+    evhttp_set_max_headers_size(http, settings.max_header_bytes.value());
+    evhttp_set_max_body_size(http, settings.max_body_bytes.value());
+    const timeval limit = ToTimeval(settings.silence_limit);
+    evhttp_set_timeout_tv(http, &limit);
+  }
+
   std::size_t UnfinishedExchanges() const override { return *unfinished_; }
 
  private:
--- a/src/kingcupdrift/net/http_server.h
+++ b/src/kingcupdrift/net/http_server.h
@@ -88,6 +88,8 @@
 
   /// The address in use, with the real port.
   virtual Endpoint endpoint() const = 0;
+  /// Uses other limits for connections that are accepted from now on.
+  virtual void SetLimits(const HttpServerSettings& settings) = 0;
   /// Exchanges without an answer, and answers not wholly taken by a connection.
   virtual std::size_t UnfinishedExchanges() const = 0;
 };
--- a/src/kingcupdrift/net/instance_list_client.cc
+++ b/src/kingcupdrift/net/instance_list_client.cc
@@ -4,7 +4,7 @@
 #include <optional>
 #include <utility>
 
-#include "kingcupdrift/net/internal/json_fields.h"
+#include "kingcupdrift/api/json_fields.h"
 
 namespace kingcupdrift {
 namespace {
--- a/src/kingcupdrift/net/internal/caller_server.cc
+++ b/src/kingcupdrift/net/internal/caller_server.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "kingcupdrift/api/api.h"
+#include "kingcupdrift/api/json_fields.h"
 #include "kingcupdrift/net/internal/http_caller_sink.h"
-#include "kingcupdrift/net/internal/json_fields.h"
 
 namespace kingcupdrift {
 namespace {
--- a/src/kingcupdrift/net/internal/client_connection.cc
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -15,9 +15,12 @@
 constexpr int kSegmentsAtOnce = 16;
 
 void AddRequestHeaders(evkeyvalq* target, const HttpRequest& request) {
-  evhttp_add_header(target, "Host", ToString(request.server).c_str());
   AddHeaders(target, request.headers);
-  if (request.method != "GET" && request.method != "HEAD") {
+  if (evhttp_find_header(target, "Host") == nullptr) {
+    evhttp_add_header(target, "Host", ToString(request.server).c_str());
+  }
+  const bool has_body = TotalSize(request.body) > 0;
+  if (has_body || (request.method != "GET" && request.method != "HEAD")) {
     const std::string size = std::to_string(TotalSize(request.body));
     evhttp_add_header(target, "Content-Length", size.c_str());
   }
@@ -45,7 +48,9 @@
 }
 
 bool ClientConnection::IsOpen() const {
-  return bufferevent_getfd(stream()) != -1;
+  // Bytes behind a whole answer belong to no request.
+  return bufferevent_getfd(stream()) != -1 &&
+         evbuffer_get_length(bufferevent_get_input(stream())) == 0;
 }
 
 void ClientConnection::Send(const HttpRequest& request, ConnectionUser& user) {
--- a/src/kingcupdrift/net/internal/engine_protocol.cc
+++ b/src/kingcupdrift/net/internal/engine_protocol.cc
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <utility>
 
-#include "kingcupdrift/net/internal/json_fields.h"
+#include "kingcupdrift/api/json_fields.h"
 
 namespace kingcupdrift {
 namespace {
--- a/src/kingcupdrift/net/internal/peer_codec.h
+++ b/src/kingcupdrift/net/internal/peer_codec.h
@@ -13,6 +13,7 @@
 inline constexpr std::size_t kMaxPeerUsageRows = 16384;
 inline constexpr std::size_t kMaxPeerDocuments = 4096;
 inline constexpr std::size_t kMaxPeerNotes = 1024;
+inline constexpr std::size_t kMaxPeerStoreItems = 16384;
 
 /// A message as a FlatBuffers frame of peer.fbs.
 std::string EncodePeerMessage(const PeerMessage& message);
--- a/src/kingcupdrift/net/internal/store_protocol.cc
+++ b/src/kingcupdrift/net/internal/store_protocol.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "kingcupdrift/api/api.h"
-#include "kingcupdrift/net/internal/json_fields.h"
+#include "kingcupdrift/api/json_fields.h"
 
 namespace kingcupdrift {
 namespace {
@@ -91,11 +91,13 @@
   return {{"create_request", std::move(create)}};
 }
 
-Result<std::vector<StoreEntry>> ReadRangeAnswer(const json& answer) {
+Result<StoreListing> ReadRangeAnswer(const json& answer) {
   if (!answer.is_object()) {
     return BadAnswer();
   }
-  std::vector<StoreEntry> entries;
+  StoreListing listing;
+  listing.version =
+      StoreVersion(IntegerField(ObjectField(answer, "header"), "revision"));
   for (const json& it : ListField(answer, "kvs")) {
     auto key = DecodeStoreText(it, "key");
     auto value = DecodeStoreText(it, "value");
@@ -103,9 +105,9 @@
     if (!key || !value || version.value() <= 0) {
       return BadAnswer();
     }
-    entries.push_back({*std::move(key), {*std::move(value), version}});
+    listing.entries.push_back({*std::move(key), {*std::move(value), version}});
   }
-  return entries;
+  return listing;
 }
 
 Result<StoreVersion> ReadTransactionAnswer(const json& answer) {
--- a/src/kingcupdrift/net/internal/store_protocol.h
+++ b/src/kingcupdrift/net/internal/store_protocol.h
@@ -29,7 +29,7 @@
 nlohmann::json MakeWatchRequest(const std::string& prefix, StoreVersion first);
 
 /// Entries of a range answer; kProtocol if it is not well-formed.
-Result<std::vector<StoreEntry>> ReadRangeAnswer(const nlohmann::json& answer);
+Result<StoreListing> ReadRangeAnswer(const nlohmann::json& answer);
 /// The new version; kConflict if the condition did not hold.
 Result<StoreVersion> ReadTransactionAnswer(const nlohmann::json& answer);
 /// One event of a watch; kProtocol if it is not well-formed.
--- a/src/kingcupdrift/net/internal/store_watch.cc
+++ b/src/kingcupdrift/net/internal/store_watch.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "kingcupdrift/net/internal/json_fields.h"
+#include "kingcupdrift/api/json_fields.h"
 #include "kingcupdrift/net/internal/store_protocol.h"
 
 namespace kingcupdrift {
--- a/src/kingcupdrift/net/store_http_client.cc
+++ b/src/kingcupdrift/net/store_http_client.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "kingcupdrift/net/internal/json_fields.h"
+#include "kingcupdrift/api/json_fields.h"
 #include "kingcupdrift/net/internal/store_protocol.h"
 #include "kingcupdrift/net/internal/store_watch.h"
 
@@ -115,13 +115,13 @@
 
   static Result<std::optional<StoreValue>> ToOptionalValue(
       Result<json> answer) {
-    auto entries = answer.and_then(ReadRangeAnswer);
-    if (!entries) {
-      return tl::unexpected(entries.error());
+    auto listing = answer.and_then(ReadRangeAnswer);
+    if (!listing) {
+      return tl::unexpected(listing.error());
     }
     std::optional<StoreValue> value;
-    if (!entries->empty()) {
-      value = std::move(entries->front().value);
+    if (!listing->entries.empty()) {
+      value = std::move(listing->entries.front().value);
     }
     return value;
   }
--- /dev/null
+++ b/src/kingcupdrift/routing/engine_timing.cc
@@ -0,0 +1,29 @@
+#include "kingcupdrift/routing/engine_timing.h"
+
+namespace kingcupdrift {
+namespace {
+
+Duration FromMicroseconds(double us) {
+  return Duration(static_cast<Duration::rep>(us));
+}
+
+}  // namespace
+
+Duration EngineTiming::ReadTime(TokenCount prompt) const {
+  const auto tokens = static_cast<double>(prompt.value());
+  const double pairs = tokens * tokens / 2;
+  return FromMicroseconds(tokens * read_us_per_token +
+                          pairs * read_us_per_pair);
+}
+
+Duration EngineTiming::PassTime(int streams, TokenCount context) const {
+  if (streams <= 0) {
+    return Duration::zero();
+  }
+  const double step_us =
+      static_cast<double>(step.count()) + streams * step_us_per_stream +
+      static_cast<double>(context.value()) * step_us_per_context_token;
+  return FromMicroseconds(stride * step_us);
+}
+
+}  // namespace kingcupdrift
--- /dev/null
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -0,0 +1,101 @@
+#ifndef KINGCUPDRIFT_ROUTING_PROMPT_PLACER_H_
+#define KINGCUPDRIFT_ROUTING_PROMPT_PLACER_H_
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "kingcupdrift/base/base.h"
+#include "kingcupdrift/routing/engine_timing.h"
+#include "kingcupdrift/routing/work_book.h"
+
+namespace kingcupdrift {
+
+/// A model prompt that wants a place.
+struct PromptDemand {
+  TokenCount prompt;
+  /// Tokens that the answer is expected to have.
+  TokenCount output;
+  /// Time to the first event that the caller expects.
+  Duration target_latency{0};
+  /// Longest pause between events that the caller accepts.
+  Duration pause_limit{0};
+  /// How long the prompt has waited in the entry.
+  Duration waited{0};
+};
+
+/// One engine and what runs there.
+struct EngineView {
+  EngineId id;
+  EngineWork work;
+};
+
+/// Where a prompt goes. Positions are those of the views given.
+struct PromptPlacement {
+  std::size_t engine = 0;
+  std::vector<std::size_t> helpers;
+  /// Reading time at each engine that takes part.
+  Duration part_time{0};
+  /// Time to the first event.
+  Duration first_event{0};
+};
+
+/// Chooses engines for prompts of very unlike lengths by what the engines'
+/// timing predicts for this caller and for those whose streams run there.
+///
+/// A short prompt goes to one engine, and rather to one that has streams of
+/// short prompts already, so that other engines stay free for long reads. A
+/// long prompt is read in even parts by several engines at once; an engine
+/// takes part only as long as no stream there stands still longer than its
+/// caller accepts.
+class PromptPlacer {
+ public:
+  explicit PromptPlacer(const EngineTiming& timing) : timing_(timing) {}
+
+  /// A place to send `demand` to now; absent if it better waits.
+  std::optional<PromptPlacement> Place(
+      const PromptDemand& demand,
+      const std::vector<EngineView>& engines) const;
+
+  /// Whether `demand` fits into the memory of the engine, or of several.
+  bool Fits(const PromptDemand& demand, std::size_t engines) const;
+
+  /// Engines accept at most this many helpers for one prompt.
+  static constexpr std::size_t kMaxHelpers = 16;
+  /// A part is worth a helper from this reading time on: below, the latency
+  /// between engines outweighs what the helper saves.
+  static constexpr Duration kMinPart = std::chrono::milliseconds(25);
+  /// Part of a stream's pause limit that is planned for. The rest covers what
+  /// the entries do not know of each other yet.
+  static constexpr double kPlannedPause = 0.8;
+  /// Reading time that a helper may have before it: keeps every engine busy
+  /// between two dispatches and leaves the order of prompts to the entries.
+  static constexpr Duration kMaxBacklog = std::chrono::milliseconds(400);
+  /// A prompt of this reading time may find `kMaxBacklog`; longer ones less, by
+  /// the square root, so that short work goes first.
+  static constexpr Duration kReferenceWork = std::chrono::milliseconds(500);
+  /// The accepted backlog doubles each time a prompt has waited this long.
+  static constexpr Duration kPatience = std::chrono::seconds(1);
+
+ private:
+  struct Candidate;
+
+  std::optional<PromptPlacement> PlaceWhole(
+      const PromptDemand& demand,
+      Duration work,
+      const std::vector<Candidate>& candidates) const;
+  std::optional<PromptPlacement> PlaceSplit(
+      const PromptDemand& demand,
+      Duration work,
+      const std::vector<Candidate>& candidates) const;
+  std::vector<Candidate> Assess(const PromptDemand& demand,
+                                const std::vector<EngineView>& engines) const;
+  Duration AcceptedBacklog(const PromptDemand& demand, Duration work) const;
+  static Duration HelperRoom(const Candidate& candidate, Duration backlog);
+
+  EngineTiming timing_;
+};
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_ROUTING_PROMPT_PLACER_H_
--- a/src/kingcupdrift/routing/routing.h
+++ b/src/kingcupdrift/routing/routing.h
@@ -5,11 +5,14 @@
 /// Public header of routing: which engine or engine group runs a request, and
 /// when a failed attempt may be repeated. Nothing here performs I/O.
 
+#include "kingcupdrift/routing/engine_timing.h"    // IWYU pragma: export
 #include "kingcupdrift/routing/hedge_policy.h"     // IWYU pragma: export
 #include "kingcupdrift/routing/outlier_ejector.h"  // IWYU pragma: export
+#include "kingcupdrift/routing/prompt_placer.h"    // IWYU pragma: export
 #include "kingcupdrift/routing/retry.h"            // IWYU pragma: export
 #include "kingcupdrift/routing/route.h"            // IWYU pragma: export
 #include "kingcupdrift/routing/router.h"           // IWYU pragma: export
 #include "kingcupdrift/routing/routing_policy.h"   // IWYU pragma: export
+#include "kingcupdrift/routing/work_book.h"        // IWYU pragma: export
 
 #endif  // KINGCUPDRIFT_ROUTING_ROUTING_H_
--- a/src/kingcupdrift/store/budgeted_store.cc
+++ b/src/kingcupdrift/store/budgeted_store.cc
@@ -85,10 +85,10 @@
 }
 
 void BudgetedStore::List(const std::string& prefix, ListCallback callback) {
-  Run<std::vector<StoreEntry>>(StoreCallKind::kRead, std::move(callback),
-                               [this, prefix](ListCallback counted) {
-                                 store_.List(prefix, std::move(counted));
-                               });
+  Run<StoreListing>(StoreCallKind::kRead, std::move(callback),
+                    [this, prefix](ListCallback counted) {
+                      store_.List(prefix, std::move(counted));
+                    });
 }
 
 void BudgetedStore::CompareAndSwap(const std::string& key,
--- /dev/null
+++ b/src/kingcupdrift/store/leased_key.cc
@@ -0,0 +1,102 @@
+#include "kingcupdrift/store/leased_key.h"
+
+#include <utility>
+
+namespace kingcupdrift {
+namespace {
+
+const Logger kLog("store");
+
+}  // namespace
+
+LeasedKey::LeasedKey(PlatformStore& store,
+                     Clock& clock,
+                     Random& random,
+                     std::string prefix,
+                     std::string value)
+    : store_(store),
+      clock_(clock),
+      random_(random),
+      prefix_(std::move(prefix)),
+      value_(std::move(value)) {}
+
+template <typename T>
+std::function<void(T)> LeasedKey::Guard(std::function<void(T)> callback) {
+  const std::weak_ptr<bool> alive = is_alive_;
+  return [alive, callback = std::move(callback)](T result) {
+    if (!alive.expired()) {
+      callback(std::move(result));
+    }
+  };
+}
+
+void LeasedKey::Start() {
+  Grant();
+}
+
+void LeasedKey::Stop() {
+  is_stopped_ = true;
+  timer_.reset();
+  if (lease_.value() != 0) {
+    store_.Revoke(lease_, [](const Result<void>& done) {
+      if (!done) {
+        kLog.Warning("The lease was not ended: {}; it runs out by itself.",
+                     done.error().detail);
+      }
+    });
+  }
+}
+
+void LeasedKey::Grant() {
+  lease_ = LeaseId();
+  store_.GrantLease(kTimeToLive,
+                    Guard<Result<LeaseId>>([this](Result<LeaseId> lease) {
+                      if (is_stopped_) {
+                        return;
+                      }
+                      if (!lease) {
+                        RetryLater();
+                        return;
+                      }
+                      Write(*lease);
+                    }));
+}
+
+void LeasedKey::Write(LeaseId lease) {
+  const std::string key = prefix_ + random_.Token();
+  store_.CompareAndSwap(
+      key, StoreVersion(), value_, lease,
+      Guard<Result<StoreVersion>>([this, lease](Result<StoreVersion> written) {
+        lease_ = lease;
+        if (is_stopped_) {
+          Stop();
+          return;
+        }
+        if (!written) {
+          RetryLater();
+          return;
+        }
+        timer_ = clock_.RunAfter(kRenewal, [this] { Renew(); });
+      }));
+}
+
+void LeasedKey::Renew() {
+  store_.KeepAlive(lease_, Guard<Result<void>>([this](Result<void> done) {
+                     if (is_stopped_) {
+                       return;
+                     }
+                     if (!done && done.error().code == ErrorCode::kNotFound) {
+                       kLog.Info("The lease has ended; writing a new key.");
+                       Grant();
+                       return;
+                     }
+                     timer_ = clock_.RunAfter(done ? kRenewal : kRetry,
+                                              [this] { Renew(); });
+                   }));
+}
+
+void LeasedKey::RetryLater() {
+  timer_ = clock_.RunAfter(kRetry, [this] { Grant(); });
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/telemetry/telemetry.h
+++ b/src/kingcupdrift/telemetry/telemetry.h
@@ -4,6 +4,7 @@
 /// @file
 /// Public header of the time line, the metrics and rate-limited logs.
 
+#include "kingcupdrift/telemetry/decision_log.h"         // IWYU pragma: export
 #include "kingcupdrift/telemetry/event_ring.h"           // IWYU pragma: export
 #include "kingcupdrift/telemetry/metrics.h"              // IWYU pragma: export
 #include "kingcupdrift/telemetry/rate_limited_logger.h"  // IWYU pragma: export
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -31,7 +31,7 @@
     outcome.served = settings;
     return 0;
   };
-  outcome.exit_code = RunCommand(words, environment, serve, out, err);
+  outcome.exit_code = RunCommand(words, environment, {serve, {}}, out, err);
   outcome.out = out.str();
   outcome.err = err.str();
   return outcome;
--- a/tests/fakes/fake_store.cc
+++ b/tests/fakes/fake_store.cc
@@ -154,10 +154,10 @@
 }
 
 void FakeStore::List(const std::string& prefix, ListCallback callback) {
-  Call<std::vector<StoreEntry>>(
+  Call<StoreListing>(
       CallKind::kRead,
-      [prefix](StoreModel& model) -> Result<std::vector<StoreEntry>> {
-        return model.List(prefix);
+      [prefix](StoreModel& model) -> Result<StoreListing> {
+        return StoreListing{model.List(prefix), model.version()};
       },
       std::move(callback));
 }
