Close a send at once when its request ends, and refuse late callers of a stop

Cause 1: a request that ended inside a callback kept its send open until the next turn of the loop.

Ruled out: signals and memory; the last lines before each exit were streams that callers left.

Change: ending an attempt closes its connection first. After 2.5 s of notice a stopping entry refuses requests that may last longer than the stop, as not run. Tests that failed first: forwarder_test, "a caller that leaves ends the target's work at once" and "a stopping entry refuses what it could not finish".

--- a/src/kingcupdrift/forwarding/forward_refusal.cc
+++ b/src/kingcupdrift/forwarding/forward_refusal.cc
@@ -6,6 +6,8 @@
   switch (type) {
     case ForwardRefusalType::kNotReady:
       return "not_ready";
+    case ForwardRefusalType::kLeaving:
+      return "leaving";
     case ForwardRefusalType::kBadRequest:
       return "bad_request";
     case ForwardRefusalType::kUnknownKey:
@@ -31,6 +33,7 @@
 bool IsNotRunPromise(ForwardRefusalType type) {
   switch (type) {
     case ForwardRefusalType::kNotReady:
+    case ForwardRefusalType::kLeaving:
     case ForwardRefusalType::kOverloaded:
     case ForwardRefusalType::kNoTarget:
     case ForwardRefusalType::kTimeLimitNotSent:
--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -64,6 +64,10 @@
     }
   }
 
+  void StopBy(MonotonicTime end) override {
+    context_.stop = {context_.clock.Now() + kCallerNotice, end};
+  }
+
   void OnWorkSent(WorkListener listener) override {
     context_.work_listener = std::move(listener);
   }
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -55,6 +55,12 @@
   /// `is_certain`: false if the list that misses the target may be incomplete.
   virtual void RemoveTarget(const EngineId& id, bool is_certain) = 0;
 
+  /// The entry stops at `end`. Requests that may last longer are refused once
+  /// callers have had `kCallerNotice` to go elsewhere.
+  virtual void StopBy(MonotonicTime end) = 0;
+  /// Callers keep an address answer for two seconds.
+  static constexpr Duration kCallerNotice = std::chrono::milliseconds(2500);
+
   virtual void OnWorkSent(WorkListener listener) = 0;
   virtual void ApplyPeerWork(const InstanceId& owner, const WorkNote& note) = 0;
   virtual void RemovePeer(const InstanceId& owner) = 0;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -63,8 +63,9 @@
     limits_listener_ = std::move(listener);
   }
 
-  void StartLeaving() override {
+  void StartLeaving(Duration limit) override {
     is_leaving_ = true;
+    forwarder_->StopBy(deps_.clock.Now() + limit);
     own_key_.Stop();
     board_.AnnounceState();
   }
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -52,7 +52,8 @@
 
   /// Begins a planned stop: callers are sent elsewhere; requests that still
   /// come are served.
-  virtual void StartLeaving() = 0;
+  /// It ends within `limit`.
+  virtual void StartLeaving(Duration limit) = 0;
   virtual bool IsLeaving() const = 0;
   virtual std::size_t RequestsInProgress() const = 0;
   virtual std::string MetricsText() const = 0;
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -36,6 +36,11 @@
   }
 }
 
+void ForwardAttempt::Cancel() {
+  silence_timer_.reset();
+  call_.reset();
+}
+
 void ForwardAttempt::OnAnswer(TargetAnswer answer) {
   answer_ = std::move(answer);
   if (!answer_.request.empty() && answer_.request != request_) {
@@ -73,6 +78,9 @@
   if (!has_begun_) {
     has_begun_ = true;
     owner_.OnStreamBegin(answer_.status, answer_.headers);
+    if (!call_) {
+      return;
+    }
   }
   // The last line: the owner may destroy this attempt.
   owner_.OnStreamEvents(*events);
@@ -87,6 +95,9 @@
     if (!has_begun_) {
       has_begun_ = true;
       owner_.OnStreamBegin(answer_.status, answer_.headers);
+      if (!call_) {
+        return;
+      }
     }
     End(ForwardAttemptEnd::kStreamEnded, "");
     return;
@@ -121,8 +132,7 @@
 }
 
 void ForwardAttempt::End(ForwardAttemptEnd end, std::string detail) {
-  silence_timer_.reset();
-  call_.reset();
+  Cancel();
   ForwardAttemptResult result;
   result.end = end;
   result.detail = std::move(detail);
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -66,6 +66,9 @@
   const EngineAddress& target() const { return target_; }
   bool has_first_event() const { return has_begun_; }
   void SetPaused(bool is_paused);
+  /// Closes the connection, which makes the target stop its work. The owner
+  /// hears nothing more.
+  void Cancel();
 
   void OnAnswer(TargetAnswer answer) override;
   void OnBytes(std::string_view bytes) override;
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "kingcupdrift/forwarding/forwarder.h"
@@ -15,6 +16,13 @@
 
 namespace kingcupdrift {
 
+/// A planned stop of this entry.
+struct PlannedStop {
+  /// From here on, requests that may last beyond `end` are refused.
+  MonotonicTime notice_over;
+  MonotonicTime end;
+};
+
 /// What the requests of one forwarder share.
 struct ForwardContext {
   ForwardContext(const ForwarderSettings& settings_in,
@@ -43,6 +51,7 @@
   SendBudget budget;
   WaitQueue queue;
   std::size_t entry_count = 1;
+  std::optional<PlannedStop> stop;
   /// Own sends to plain targets that are under way.
   std::map<EngineId, int> sends_in_progress;
   Forwarder::WorkListener work_listener;
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -73,6 +73,11 @@
     limit = std::min(limit, *call_.time_limit);
   }
   deadline_ = arrival_ + limit;
+  if (context_.stop && arrival_ >= context_.stop->notice_over &&
+      deadline_ > context_.stop->end) {
+    Refuse(ForwardRefusalType::kLeaving, "this entry stops");
+    return false;
+  }
   return true;
 }
 
@@ -275,6 +280,7 @@
   if (!attempt_) {
     return;
   }
+  attempt_->Cancel();
   if (is_announced_) {
     AnnouncePhase(WorkPhase::kEnded);
   } else {
--- a/src/kingcupdrift/interfaces/forward_sink.h
+++ b/src/kingcupdrift/interfaces/forward_sink.h
@@ -14,6 +14,8 @@
 enum class ForwardRefusalType {
   /// No configuration or no list of targets yet.
   kNotReady,
+  /// The entry is stopping and could not finish the request.
+  kLeaving,
   kBadRequest,
   kUnknownKey,
   kNoRoute,
--- /dev/null
+++ b/tests/forwarding/forwarder_test.cc
@@ -0,0 +1,200 @@
+#include "kingcupdrift/forwarding/forwarder.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/forwarding/forwarding_harness.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a target's whole answer reaches the caller unchanged") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(1);
+  const auto caller = harness.Handle(ForwardingHarness::Call("/once/x"));
+  REQUIRE(harness.targets.sends.size() == 1);
+  CHECK(harness.send(0).workspace == WorkspaceId("workspace"));
+  harness.Answer(0, 201, "made");
+  REQUIRE(caller->reply);
+  CHECK(caller->reply->status == 201);
+  CHECK(*caller->reply->body == "made");
+}
+
+TEST_CASE("requests without configuration, route or key are refused") {
+  ForwardingHarness harness;
+  const auto refused = [&](const ForwardCall& call) {
+    const auto caller = harness.Handle(call);
+    REQUIRE(caller->refusal);
+    return caller->refusal->type;
+  };
+  CHECK(refused(ForwardingHarness::Call("/none/x")) ==
+        ForwardRefusalType::kNoRoute);
+  ForwardCall call = ForwardingHarness::Call("/once/x");
+  call.key = "other";
+  CHECK(refused(call) == ForwardRefusalType::kUnknownKey);
+
+  harness.forwarder = Forwarder::Create(
+      {InstanceId("entry-2"), FailureDomain("a"), {}},
+      {harness.clock, harness.random, harness.targets, harness.log});
+  CHECK(refused(ForwardingHarness::Call("/once/x")) ==
+        ForwardRefusalType::kNotReady);
+}
+
+TEST_CASE("a non-idempotent call whose answer is lost is not sent again") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(3);
+  const auto caller = harness.Handle(ForwardingHarness::Call("/once/x"));
+  harness.Fail(0, ErrorCode::kUnknownEffect);
+  harness.clock.Advance(milliseconds(100));
+  CHECK(harness.targets.sends.size() == 1);
+  REQUIRE(caller->refusal);
+  CHECK_FALSE(IsNotRunPromise(caller->refusal->type));
+}
+
+TEST_CASE("a non-idempotent call that a target declined is sent to another") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(3);
+  const auto caller = harness.Handle(ForwardingHarness::Call("/once/x"));
+  harness.Decline(0);
+  REQUIRE(harness.targets.sends.size() == 2);
+  CHECK(harness.send(0).target.id != harness.send(1).target.id);
+  harness.Answer(1, 200, "done");
+  CHECK(caller->reply);
+}
+
+TEST_CASE("an answer that belongs to another request is never passed on") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(1);
+  const auto caller = harness.Handle(ForwardingHarness::Call("/once/x"));
+  TargetAnswer answer;
+  answer.status = 200;
+  answer.request = RequestId("another");
+  harness.send(0).observer->OnAnswer(answer);
+  CHECK_FALSE(caller->reply);
+  REQUIRE(caller->refusal);
+  CHECK(caller->refusal->type == ForwardRefusalType::kTargetFailed);
+}
+
+TEST_CASE("a caller that leaves ends the target's work at once") {
+  ForwardingHarness harness;
+  harness.AddEngines(2);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(1000));
+  harness.Stream(0, Event(0));
+  caller->on_closed();
+  // Nothing may still arrive for the request, also not in the same turn.
+  CHECK(harness.send(0).observer == nullptr);
+  harness.clock.Advance(milliseconds(10));
+  CHECK(harness.forwarder->RequestsInProgress() == 0);
+  CHECK(harness.notes.back().phase == WorkPhase::kEnded);
+}
+
+TEST_CASE(
+    "the time limit ends the target's work and tells whether it was sent") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(1);
+  const auto sent = harness.Handle(ForwardingHarness::Call("/once/x"));
+  const auto waiting = harness.Handle(ForwardingHarness::Prompt(1000));
+  REQUIRE(waiting->refusal);
+  CHECK(IsNotRunPromise(waiting->refusal->type));
+  harness.clock.Advance(milliseconds(10'000));
+  REQUIRE(sent->refusal);
+  CHECK(sent->refusal->type == ForwardRefusalType::kTimeLimitSent);
+  CHECK(harness.send(0).observer == nullptr);
+}
+
+TEST_CASE("a broken stream goes on at another engine after the last event") {
+  ForwardingHarness harness;
+  harness.AddEngines(3);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(1000));
+  harness.Stream(0, Event(0) + Event(1) + "id: 2\nda");
+  harness.Fail(0, ErrorCode::kConnectionLost);
+  REQUIRE(harness.targets.sends.size() == 2);
+  CHECK(harness.send(1).target.id != harness.send(0).target.id);
+  CHECK(harness.send(1).last_event == 1);
+  harness.Stream(1, Event(2) + Event(3));
+  harness.send(1).observer->OnEnd();
+  CHECK(caller->bytes == Event(0) + Event(1) + Event(2) + Event(3));
+  CHECK(caller->has_ended);
+}
+
+TEST_CASE("a resumed stream that skips an event is broken off") {
+  ForwardingHarness harness;
+  harness.AddEngines(3);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(1000));
+  harness.Stream(0, Event(0));
+  harness.Fail(0, ErrorCode::kConnectionLost);
+  harness.Stream(1, Event(2));
+  CHECK(caller->is_aborted);
+  CHECK(caller->bytes == Event(0));
+}
+
+TEST_CASE("a stream is sent to no more targets than its route allows") {
+  ForwardingHarness harness;
+  harness.AddEngines(5);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(1000));
+  harness.Fail(0, ErrorCode::kUnknownEffect);
+  harness.Fail(1, ErrorCode::kUnknownEffect);
+  CHECK(harness.targets.sends.size() == 2);
+  CHECK(caller->refusal);
+}
+
+TEST_CASE("a leaving target gets no new request") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(2);
+  TargetRecord leaving{{EngineId("plain-0"), {"10.0.0.2", 80}},
+                       ServiceId("plain"),
+                       FailureDomain("a"),
+                       6,
+                       true};
+  harness.forwarder->UpdateTarget(leaving);
+  for (int i = 0; i < 5; ++i) {
+    harness.Handle(ForwardingHarness::Call("/once/x"));
+  }
+  for (const auto& send : harness.targets.sends) {
+    CHECK(send->target.id == EngineId("plain-1"));
+  }
+}
+
+TEST_CASE(
+    "a target that lapsed while the store was away stays in use for 2 s") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(1);
+  harness.forwarder->RemoveTarget(EngineId("plain-0"), false);
+  harness.Handle(ForwardingHarness::Call("/once/x"));
+  CHECK(harness.targets.sends.size() == 1);
+  harness.clock.Advance(milliseconds(2000));
+  const auto late = harness.Handle(ForwardingHarness::Call("/once/x"));
+  CHECK(harness.targets.sends.size() == 1);
+  CHECK(late->refusal);
+}
+
+TEST_CASE("an older configuration never replaces a newer one") {
+  ForwardingHarness harness;
+  ServingConfig newer = ForwardingHarness::Config();
+  newer.version = Generation(5);
+  newer.routes.pop_back();
+  harness.forwarder->UseConfig(newer);
+  harness.forwarder->UseConfig(ForwardingHarness::Config());
+  const auto caller = harness.Handle(ForwardingHarness::Call("/once/x"));
+  REQUIRE(caller->refusal);
+  CHECK(caller->refusal->type == ForwardRefusalType::kNoRoute);
+}
+
+TEST_CASE("a stopping entry refuses what it could not finish, after a notice") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(1);
+  harness.forwarder->StopBy(harness.clock.Now() + milliseconds(7500));
+  const auto early = harness.Handle(ForwardingHarness::Call("/once/x"));
+  CHECK_FALSE(early->IsOver());
+  harness.clock.Advance(Forwarder::kCallerNotice);
+  const auto late = harness.Handle(ForwardingHarness::Call("/once/x"));
+  REQUIRE(late->refusal);
+  CHECK(late->refusal->type == ForwardRefusalType::kLeaving);
+  ForwardCall quick = ForwardingHarness::Call("/once/x");
+  quick.time_limit = milliseconds(600);
+  CHECK_FALSE(harness.Handle(quick)->IsOver());
+}
+
+}  // namespace
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/forwarding/forwarding_harness.cc
@@ -0,0 +1,213 @@
+#include "tests/forwarding/forwarding_harness.h"
+
+#include <utility>
+
+namespace kingcupdrift::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RecordingForwardSink : public ForwardSink {
+ public:
+  explicit RecordingForwardSink(std::shared_ptr<CallerRecord> record)
+      : record_(std::move(record)) {}
+
+  void Reply(const ServiceResponse& response) override {
+    record_->reply = response;
+  }
+  void Begin(int status, const HeaderList&) override {
+    record_->begun = status;
+  }
+  void Write(std::string_view bytes) override { record_->bytes += bytes; }
+  void End() override { record_->has_ended = true; }
+  void Abort() override { record_->is_aborted = true; }
+  void Refuse(const ForwardRefusal& refusal) override {
+    record_->refusal = refusal;
+  }
+  void OnClosed(std::function<void()> callback) override {
+    record_->on_closed = std::move(callback);
+  }
+  void OnDrained(std::function<void()>) override {}
+  ByteCount Unsent() const override { return ByteCount(0); }
+
+ private:
+  std::shared_ptr<CallerRecord> record_;
+};
+
+class FakeTargetCall : public TargetCall {
+ public:
+  explicit FakeTargetCall(std::shared_ptr<TargetSend> send)
+      : send_(std::move(send)) {}
+  ~FakeTargetCall() override { send_->observer = nullptr; }
+  void SetPaused(bool) override {}
+
+ private:
+  std::shared_ptr<TargetSend> send_;
+};
+
+RouteRule Route(const std::string& prefix, RepeatRule repeat, int attempts) {
+  RouteRule route;
+  route.name = prefix;
+  route.host = "example";
+  route.prefix = prefix;
+  route.repeat = repeat;
+  route.time_limit = milliseconds(10'000);
+  route.target_latency = milliseconds(300);
+  route.first_event_limit = milliseconds(2000);
+  route.max_attempts = attempts;
+  route.shares = {{ServiceId("plain"), 1}};
+  return route;
+}
+
+}  // namespace
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+std::unique_ptr<TargetCall> FakeTargetClient::Send(const EngineAddress& target,
+                                                   const TargetRequest& request,
+                                                   TargetObserver& observer) {
+  auto send = std::make_shared<TargetSend>(
+      TargetSend{target, request.call->id, request.workspace, request.time_left,
+                 request.last_event, request.helpers, &observer});
+  sends.push_back(send);
+  return std::make_unique<FakeTargetCall>(send);
+}
+
+void FakeTargetClient::Reserve(const EngineAddress& engine,
+                               const ReservationId& reservation,
+                               TokenCount tokens,
+                               Duration,
+                               DoneCallback callback) {
+  if (full.contains(engine.id)) {
+    callback(MakeError(ErrorCode::kOverloaded, "no memory"));
+    return;
+  }
+  reservations[{engine.id, reservation}] = tokens;
+  callback({});
+}
+
+void FakeTargetClient::Release(const EngineAddress& engine,
+                               const ReservationId& reservation,
+                               DoneCallback callback) {
+  reservations.erase({engine.id, reservation});
+  callback({});
+}
+
+ForwardingHarness::ForwardingHarness()
+    : log(clock,
+          [this](std::string_view bytes) {
+            log_text += bytes;
+            return bytes.size();
+          }),
+      forwarder(Forwarder::Create(
+          {InstanceId("entry-1"), FailureDomain("a"), {0.2, 100}},
+          {clock, random, targets, log})) {
+  forwarder->OnWorkSent(
+      [this](const WorkNote& note) { notes.push_back(note); });
+  forwarder->UseConfig(Config());
+}
+
+ServingConfig ForwardingHarness::Config() {
+  ServingConfig config;
+  config.version = Generation(1);
+  RouteRule prompts = Route("/prompt/", RepeatRule::kIdempotent, 2);
+  prompts.is_streaming = true;
+  prompts.pause_limit = milliseconds(250);
+  prompts.shares = {{ServiceId("model"), 1}};
+  config.routes = {prompts, Route("/safe/", RepeatRule::kIdempotent, 2),
+                   Route("/once/", RepeatRule::kOnce, 1)};
+  EngineTiming timing;
+  timing.slots = 16;
+  timing.memory = TokenCount(315'000);
+  timing.stride = 51;
+  timing.step = std::chrono::microseconds(850);
+  timing.step_us_per_stream = 4.25;
+  timing.step_us_per_context_token = 0.00285;
+  timing.read_us_per_token = 1'000'000 / 177'000.0;
+  timing.read_us_per_pair = 0.000184;
+  config.services[ServiceId("model")].engine = timing;
+  config.services[ServiceId("plain")] = {};
+  config.needs_key = true;
+  config.workspace_of_key["key"] = WorkspaceId("workspace");
+  return config;
+}
+
+void ForwardingHarness::AddEngines(int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::string id = "engine-" + std::to_string(10 + i);
+    forwarder->UpdateTarget({{EngineId(id), {"10.0.0.1", 80}},
+                             ServiceId("model"),
+                             FailureDomain("a"),
+                             16});
+  }
+}
+
+void ForwardingHarness::AddPlainTargets(int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::string id = "plain-" + std::to_string(i);
+    forwarder->UpdateTarget({{EngineId(id), {"10.0.0.2", 80}},
+                             ServiceId("plain"),
+                             FailureDomain("a"),
+                             6});
+  }
+}
+
+ForwardCall ForwardingHarness::Call(const std::string& path) {
+  ForwardCall call;
+  call.id = RequestId("request");
+  call.host = "example";
+  call.method = "POST";
+  call.target = path;
+  call.body = std::make_shared<const std::string>("body");
+  call.key = "key";
+  return call;
+}
+
+ForwardCall ForwardingHarness::Prompt(std::int64_t tokens) {
+  ForwardCall call = Call("/prompt/x");
+  call.prompt =
+      PromptSize{TokenCount(tokens), TokenCount(100), TokenCount(100)};
+  return call;
+}
+
+std::shared_ptr<CallerRecord> ForwardingHarness::Handle(ForwardCall call) {
+  auto record = std::make_shared<CallerRecord>();
+  forwarder->Handle(std::move(call),
+                    std::make_unique<RecordingForwardSink>(record));
+  return record;
+}
+
+void ForwardingHarness::Answer(std::size_t i,
+                               int status,
+                               const std::string& body) {
+  TargetAnswer answer;
+  answer.status = status;
+  answer.request = send(i).request;
+  send(i).observer->OnAnswer(answer);
+  send(i).observer->OnBytes(body);
+  send(i).observer->OnEnd();
+}
+
+void ForwardingHarness::Decline(std::size_t i) {
+  TargetAnswer answer;
+  answer.status = 503;
+  answer.is_not_run = true;
+  send(i).observer->OnAnswer(answer);
+  send(i).observer->OnEnd();
+}
+
+void ForwardingHarness::Stream(std::size_t i, const std::string& bytes) {
+  TargetAnswer answer;
+  answer.status = 200;
+  answer.request = send(i).request;
+  send(i).observer->OnAnswer(answer);
+  send(i).observer->OnBytes(bytes);
+}
+
+void ForwardingHarness::Fail(std::size_t i, ErrorCode code) {
+  send(i).observer->OnFailed({code, "test"});
+}
+
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/forwarding/forwarding_harness.h
@@ -0,0 +1,98 @@
+#ifndef TESTS_FORWARDING_FORWARDING_HARNESS_H_
+#define TESTS_FORWARDING_FORWARDING_HARNESS_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kingcupdrift/forwarding/forwarding.h"
+#include "tests/fakes/manual_clock.h"
+
+namespace kingcupdrift::fakes {
+
+/// What one caller got.
+struct CallerRecord {
+  std::optional<ServiceResponse> reply;
+  std::optional<int> begun;
+  std::string bytes;
+  bool has_ended = false;
+  bool is_aborted = false;
+  std::optional<ForwardRefusal> refusal;
+  std::function<void()> on_closed;
+
+  bool IsOver() const { return reply || has_ended || is_aborted || refusal; }
+};
+
+/// One send that a target received.
+struct TargetSend {
+  EngineAddress target;
+  RequestId request;
+  WorkspaceId workspace;
+  Duration time_left{0};
+  std::optional<std::uint64_t> last_event;
+  std::vector<PromptHelper> helpers;
+  /// Null once the sender has closed the connection.
+  TargetObserver* observer = nullptr;
+};
+
+/// Records sends; tests play the targets.
+class FakeTargetClient : public TargetClient {
+ public:
+  std::unique_ptr<TargetCall> Send(const EngineAddress& target,
+                                   const TargetRequest& request,
+                                   TargetObserver& observer) override;
+  void Reserve(const EngineAddress& engine,
+               const ReservationId& reservation,
+               TokenCount tokens,
+               Duration hold,
+               DoneCallback callback) override;
+  void Release(const EngineAddress& engine,
+               const ReservationId& reservation,
+               DoneCallback callback) override;
+
+  // Shared with calls, which may outlive the client in a failing test.
+  std::vector<std::shared_ptr<TargetSend>> sends;
+  /// Reservations in force, by engine and identifier.
+  std::map<std::pair<EngineId, ReservationId>, TokenCount> reservations;
+  /// Engines that refuse reservations.
+  std::set<EngineId> full;
+};
+
+/// A forwarder with one route for prompts, one for idempotent and one for
+/// non-idempotent calls, and targets that the test plays.
+class ForwardingHarness {
+ public:
+  ForwardingHarness();
+
+  void AddEngines(int count);
+  void AddPlainTargets(int count);
+  static ServingConfig Config();
+  static ForwardCall Call(const std::string& path);
+  static ForwardCall Prompt(std::int64_t tokens);
+
+  std::shared_ptr<CallerRecord> Handle(ForwardCall call);
+  TargetSend& send(std::size_t i) { return *targets.sends.at(i); }
+
+  /// The target answers send `i` whole.
+  void Answer(std::size_t i, int status, const std::string& body);
+  /// The target refuses send `i` without having run it.
+  void Decline(std::size_t i);
+  /// Begins a stream and delivers `bytes`.
+  void Stream(std::size_t i, const std::string& bytes);
+  void Fail(std::size_t i, ErrorCode code);
+
+  ManualClock clock;
+  SeededRandom random{1};
+  std::string log_text;
+  DecisionLog log;
+  FakeTargetClient targets;
+  std::vector<WorkNote> notes;
+  std::unique_ptr<Forwarder> forwarder;
+};
+
+/// An event with identifier `id`.
+std::string Event(int id);
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FORWARDING_FORWARDING_HARNESS_H_
