--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -96,7 +96,7 @@
   Choice choice;
   switch (Choose(choice)) {
     case Placed::kYes:
-      Send(choice);
+      Start(choice);
       return true;
     case Placed::kNever:
       FailOrRefuse("no target can serve it in time");
@@ -166,7 +166,7 @@
     Choice& choice) {
   const PromptPlacer placer(timing);
   const PromptDemand demand = Demand();
-  if (!placer.Fits(demand, 1)) {
+  if (!placer.Fits(demand, targets.size())) {
     return Placed::kNever;
   }
   std::vector<EngineView> views;
@@ -181,8 +181,11 @@
                                                              : Placed::kWait;
   }
   choice.target = targets[placement->engine]->address;
-  for (const std::size_t it : placement->helpers) {
-    choice.helpers.push_back({targets[it]->address, ReservationId()});
+  for (std::size_t i = 0; i < placement->helpers.size(); ++i) {
+    PromptHelper helper;
+    helper.engine = targets[placement->helpers[i]]->address;
+    helper.held = placement->held.empty() ? TokenCount() : placement->held[i];
+    choice.helpers.push_back(std::move(helper));
   }
   choice.part_time = placement->part_time;
   choice.predicted_first = placement->first_event;
@@ -217,8 +220,47 @@
   return limits;
 }
 
-void ForwardRequest::Send(const Choice& choice) {
+void ForwardRequest::Start(const Choice& choice) {
   is_waiting_ = false;
+  choice_ = choice;
+  AnnounceWork();
+  std::vector<PromptHelper> holders;
+  for (PromptHelper& it : choice_.helpers) {
+    if (it.held > TokenCount()) {
+      it.reservation = ReservationId(attempt_id_.value() + "-" +
+                                     std::to_string(holders.size()));
+      holders.push_back(it);
+    }
+  }
+  if (holders.empty()) {
+    Send();
+    return;
+  }
+  reservations_ = std::make_unique<ReservationSet>(
+      context_.clock, context_.targets, std::move(holders),
+      [this](bool is_complete) { OnReserved(is_complete); });
+  reservations_->Start();
+}
+
+void ForwardRequest::OnReserved(bool is_complete) {
+  if (is_complete) {
+    Send();
+    return;
+  }
+  context_.log.Add("forward", "reservation_failed")
+      .Text("request", call_.id.value())
+      .Text("attempt", attempt_id_.value());
+  EndWork();
+  ++failed_reservations_;
+  if (failed_reservations_ > kMaxFailedReservations) {
+    FailOrRefuse("no memory could be reserved");
+    return;
+  }
+  Wait();
+}
+
+void ForwardRequest::Send() {
+  const Choice& choice = choice_;
   TargetRequest request;
   request.call = &call_;
   request.workspace = workspace_;
@@ -227,7 +269,6 @@
   request.helpers = choice.helpers;
   const AttemptLimits limits = LimitsFor(choice);
   ++sends_;
-  AnnounceWork(choice);
   context_.log.Add("forward", "send")
       .Text("request", call_.id.value())
       .Text("route", route_->name)
@@ -245,12 +286,14 @@
       cutter_ ? &*cutter_ : nullptr, limits, *this);
 }
 
-void ForwardRequest::AnnounceWork(const Choice& choice) {
-  is_announced_ = call_.prompt.has_value();
-  if (!is_announced_) {
+void ForwardRequest::AnnounceWork() {
+  const Choice& choice = choice_;
+  if (!call_.prompt) {
+    is_counted_ = true;
     ++context_.sends_in_progress[choice.target.id];
     return;
   }
+  is_announced_ = true;
   attempt_id_ = AttemptId(context_.settings.instance.value() + "-" +
                           std::to_string(context_.next_attempt++));
   WorkNote note;
@@ -258,6 +301,7 @@
   note.engine = choice.target.id;
   for (const PromptHelper& it : choice.helpers) {
     note.helpers.push_back(it.engine.id);
+    note.held.push_back(it.held);
   }
   note.prompt = call_.prompt->prompt;
   note.output = call_.prompt->max_output;
@@ -277,22 +321,29 @@
 }
 
 void ForwardRequest::EndAttempt() {
-  if (!attempt_) {
-    return;
+  if (attempt_) {
+    attempt_->Cancel();
+    ended_attempts_.push_back(std::move(attempt_));
   }
-  attempt_->Cancel();
-  if (is_announced_) {
+  EndWork();
+}
+
+void ForwardRequest::EndWork() {
+  reservations_.reset();
+  if (std::exchange(is_announced_, false)) {
     AnnouncePhase(WorkPhase::kEnded);
-  } else {
-    --context_.sends_in_progress[attempt_->target().id];
+  }
+  if (std::exchange(is_counted_, false)) {
+    --context_.sends_in_progress[choice_.target.id];
     context_.queue.Wake();
   }
-  ended_attempts_.push_back(std::move(attempt_));
 }
 
 void ForwardRequest::OnStreamBegin(int status, const HeaderList& headers) {
   context_.health.OnSuccess(attempt_->target().id);
-  AnnouncePhase(WorkPhase::kWriting);
+  if (is_announced_) {
+    AnnouncePhase(WorkPhase::kWriting);
+  }
   may_have_run_ = true;
   // A stream that goes on keeps the headers of its first engine.
   if (!has_begun_) {
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -10,6 +10,7 @@
 
 #include "kingcupdrift/forwarding/internal/forward_attempt.h"
 #include "kingcupdrift/forwarding/internal/forward_context.h"
+#include "kingcupdrift/forwarding/internal/reservation_set.h"
 
 namespace kingcupdrift {
 
@@ -35,6 +36,9 @@
   static constexpr Duration kMinTimeLeft = std::chrono::milliseconds(40);
   /// Sends that reached no target cost nothing; bounds how many are tried.
   static constexpr int kMaxUnsent = 4;
+  /// Reservations fail where entries choose the same engine at the same time;
+  /// more often only if engines are out of step with what entries know.
+  static constexpr int kMaxFailedReservations = 6;
   /// An answer that may be repeated is awaited this many target latencies.
   static constexpr int kAnswerPatience = 3;
   /// A stream's next event is awaited this many of the caller's longest pauses.
@@ -64,12 +68,17 @@
                       Choice& choice);
   std::vector<const TargetRecord*> Targets();
   void Wait();
-  void Send(const Choice& choice);
+  /// Reserves memory first where the choice needs it.
+  void Start(const Choice& choice);
+  void OnReserved(bool is_complete);
+  void Send();
   AttemptLimits LimitsFor(const Choice& choice) const;
 
-  void AnnounceWork(const Choice& choice);
+  void AnnounceWork();
   void AnnouncePhase(WorkPhase phase);
   void EndAttempt();
+  /// Tells the other entries that nothing of the last send is left.
+  void EndWork();
 
   void HandleDeclined(const ForwardAttemptResult& result);
   void HandleBroken(const ForwardAttemptResult& result);
@@ -101,8 +110,15 @@
   std::unique_ptr<ForwardAttempt> attempt_;
   // Ended attempts, kept until the callbacks in progress have returned.
   std::vector<std::unique_ptr<ForwardAttempt>> ended_attempts_;
+  // What is being reserved for, or sent.
+  Choice choice_;
+  std::unique_ptr<ReservationSet> reservations_;
+  int failed_reservations_ = 0;
   AttemptId attempt_id_;
+  // Other entries know of the work under `attempt_id_`.
   bool is_announced_ = false;
+  // The send counts among those to plain targets.
+  bool is_counted_ = false;
   std::set<EngineId> tried_;
   int sends_ = 0;
   int unsent_ = 0;
--- a/src/kingcupdrift/forwarding/internal/wait_queue.cc
+++ b/src/kingcupdrift/forwarding/internal/wait_queue.cc
@@ -5,6 +5,7 @@
 namespace kingcupdrift {
 
 void WaitQueue::Add(Waiter& waiter, Duration work) {
+  Remove(waiter);
   const Key key{work, next_number_++};
   rows_[key] = &waiter;
   keys_[&waiter] = key;
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -114,6 +114,9 @@
   EngineId engine;
   /// Read a part each.
   std::vector<EngineId> helpers;
+  /// Tokens of the prompt that each of `helpers` holds; empty if none holds
+  /// any.
+  std::vector<TokenCount> held;
   TokenCount prompt;
   TokenCount output;
   /// Longest pause between events that its caller accepts.
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -17,7 +17,9 @@
 /// An engine that reads a part of another engine's prompt.
 struct PromptHelper {
   EngineAddress engine;
-  /// Reserved memory that holds a share of the prompt; empty without one.
+  /// Tokens of the prompt that it holds in reserved memory; 0 if it only reads.
+  TokenCount held;
+  /// Names that memory; empty if it only reads.
   ReservationId reservation;
 };
 
--- a/src/kingcupdrift/net/internal/peer_codec.cc
+++ b/src/kingcupdrift/net/internal/peer_codec.cc
@@ -108,10 +108,15 @@
     const auto attempt = builder.CreateString(note.attempt.value());
     const auto engine = builder.CreateString(note.engine.value());
     const auto helper_list = builder.CreateVector(helpers);
+    std::vector<std::int64_t> held;
+    for (const TokenCount it : note.held) {
+      held.push_back(it.value());
+    }
+    const auto held_list = builder.CreateVector(held);
     return wire::CreateWorkNote(
         builder, attempt, static_cast<wire::WorkPhase>(note.phase), engine,
         helper_list, note.prompt.value(), note.output.value(),
-        note.pause_limit.count(), note.part_time.count());
+        note.pause_limit.count(), note.part_time.count(), held_list);
   }
 
   EncodedPayload operator()(const WorkNotesMessage& message) const {
@@ -278,6 +283,13 @@
       out.helpers.emplace_back(it->str());
     }
   }
+  const std::size_t held = note.held() == nullptr ? 0 : note.held()->size();
+  if (held != 0 && held != out.helpers.size()) {
+    return BadFrame("a work note is not valid");
+  }
+  for (std::size_t i = 0; i < held; ++i) {
+    out.held.emplace_back(note.held()->Get(static_cast<unsigned>(i)));
+  }
   out.prompt = TokenCount(note.prompt());
   out.output = TokenCount(note.output());
   out.pause_limit = Duration(note.pause_limit_us());
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace kingcupdrift {
 namespace {
@@ -28,8 +29,9 @@
   Duration pass_with{0};
   /// Longest reading that the streams there bear; absent without streams.
   std::optional<Duration> room;
-  /// The new stream has a slot and memory there.
-  bool has_place = false;
+  /// Memory that is neither taken nor promised.
+  TokenCount free;
+  bool has_slot = false;
   /// Streams there bear shorter pauses than the new one.
   bool is_stricter = false;
   bool can_help = false;
@@ -37,10 +39,19 @@
   bool Bears(Duration reading) const { return !room || reading <= *room; }
 };
 
+// Engines with stricter streams take part only where that gains more than it
+// costs the prompts that wait there.
+Duration PromptPlacer::StartOf(const Candidate& candidate) {
+  return candidate.work.backlog +
+         (candidate.is_stricter ? 4 * kMinPart : Duration::zero());
+}
+
 std::vector<PromptPlacer::Candidate> PromptPlacer::Assess(
     const PromptDemand& demand,
     const std::vector<EngineView>& engines) const {
   const TokenCount added = demand.prompt + demand.output;
+  const TokenCount planned_memory(static_cast<std::int64_t>(
+      kPlannedMemory * static_cast<double>(timing_.memory.value())));
   std::vector<Candidate> candidates;
   candidates.reserve(engines.size());
   for (std::size_t i = 0; i < engines.size(); ++i) {
@@ -50,8 +61,8 @@
     it.pass = timing_.PassTime(it.work.streams, it.work.context);
     it.pass_with =
         timing_.PassTime(it.work.streams + 1, it.work.context + added);
-    it.has_place = it.work.streams < timing_.slots &&
-                   it.work.context + added <= timing_.memory;
+    it.has_slot = it.work.streams < timing_.slots;
+    it.free = std::max(planned_memory - it.work.context, TokenCount());
     it.can_help = it.work.helping < timing_.slots;
     if (it.work.streams > 0) {
       it.is_stricter = it.work.pause_limit < demand.pause_limit;
@@ -80,13 +91,14 @@
     const std::vector<Candidate>& candidates) const {
   // A free engine is taken once the others are late by a third of the target.
   const Duration opening_cost = demand.target_latency / 3;
+  const TokenCount needed = demand.prompt + demand.output;
   const bool is_urgent = demand.waited > demand.target_latency / 2;
   std::optional<PromptPlacement> best;
   Duration best_cost{0};
   for (const Candidate& it : candidates) {
     const bool is_similar =
         it.work.streams > 0 && it.work.pause_limit <= demand.pause_limit;
-    if (!it.has_place || (!is_urgent && !it.Bears(work))) {
+    if (!it.has_slot || it.free < needed || (!is_urgent && !it.Bears(work))) {
       continue;
     }
     PromptPlacement placement;
@@ -110,13 +122,6 @@
   return Scale(kMaxBacklog, patience / std::sqrt(size));
 }
 
-// Engines with stricter streams help only where that gains more than it costs
-// the prompts that wait there.
-Duration PromptPlacer::HelperRoom(const Candidate& candidate,
-                                  Duration backlog) {
-  return backlog + (candidate.is_stricter ? 4 * kMinPart : Duration::zero());
-}
-
 std::optional<PromptPlacement> PromptPlacer::PlaceSplit(
     const PromptDemand& demand,
     Duration work,
@@ -128,12 +133,9 @@
       by_start.push_back(&it);
     }
   }
-  const auto start_of = [](const Candidate* it) {
-    return HelperRoom(*it, it->work.backlog);
-  };
   std::stable_sort(by_start.begin(), by_start.end(),
-                   [&](const Candidate* a, const Candidate* b) {
-                     return start_of(a) < start_of(b);
+                   [](const Candidate* a, const Candidate* b) {
+                     return StartOf(*a) < StartOf(*b);
                    });
   std::optional<PromptPlacement> best;
   for (std::size_t helpers = 0; helpers <= kMaxHelpers; ++helpers) {
@@ -141,46 +143,93 @@
     if (helpers > 0 && part < kMinPart) {
       break;
     }
-    const Candidate* first = nullptr;
-    Duration first_cost{0};
-    for (const Candidate* it : by_start) {
-      const Duration cost = start_of(it) + it->pass_with;
-      if (it->has_place && it->Bears(part) &&
-          (first == nullptr || cost < first_cost)) {
-        first = it;
-        first_cost = cost;
-      }
+    const auto placement =
+        SplitOver(demand, work, helpers, candidates, by_start);
+    if (placement && (!best || placement->first_event < best->first_event)) {
+      best = placement;
     }
-    if (first == nullptr) {
+  }
+  return best;
+}
+
+std::optional<PromptPlacement> PromptPlacer::SplitOver(
+    const PromptDemand& demand,
+    Duration work,
+    std::size_t helpers,
+    const std::vector<Candidate>& candidates,
+    const std::vector<const Candidate*>& by_start) const {
+  const Duration part = work / static_cast<Duration::rep>(helpers + 1);
+  const TokenCount needed = demand.prompt + demand.output;
+  const Candidate* first = nullptr;
+  Duration first_cost{0};
+  for (const Candidate* it : by_start) {
+    const bool is_short_of_memory = it->free < needed;
+    if (!it->has_slot || !it->Bears(part) ||
+        (is_short_of_memory && helpers == 0)) {
       continue;
     }
-    PromptPlacement placement;
-    placement.engine = first->position;
-    placement.part_time = part;
-    Duration start = start_of(first);
-    for (const Candidate* it : by_start) {
-      if (placement.helpers.size() == helpers) {
-        break;
-      }
-      if (it != first && it->can_help && it->Bears(part)) {
-        placement.helpers.push_back(it->position);
-        start = std::max(start, start_of(it));
-      }
+    const Duration cost =
+        StartOf(*it) + it->pass_with +
+        (is_short_of_memory ? kReserveCost : Duration::zero());
+    if (first == nullptr || cost < first_cost) {
+      first = it;
+      first_cost = cost;
     }
-    if (placement.helpers.size() < helpers) {
-      continue;
+  }
+  if (first == nullptr) {
+    return std::nullopt;
+  }
+  PromptPlacement placement;
+  placement.engine = first->position;
+  placement.part_time = part;
+  Duration start = StartOf(*first);
+  for (const Candidate* it : by_start) {
+    if (placement.helpers.size() == helpers) {
+      break;
     }
-    placement.first_event = first->pass / 2 + start + part + first->pass_with;
-    if (!best || placement.first_event < best->first_event) {
-      best = placement;
+    if (it != first && it->can_help && it->Bears(part)) {
+      placement.helpers.push_back(it->position);
+      start = std::max(start, StartOf(*it));
     }
   }
-  return best;
+  if (placement.helpers.size() < helpers) {
+    return std::nullopt;
+  }
+  placement.first_event = first->pass / 2 + start + part + first->pass_with;
+  if (first->free < needed) {
+    placement.first_event += kReserveCost;
+    if (!DivideMemory(needed - first->free, candidates, placement)) {
+      return std::nullopt;
+    }
+  }
+  return placement;
+}
+
+bool PromptPlacer::DivideMemory(TokenCount missing,
+                                const std::vector<Candidate>& candidates,
+                                PromptPlacement& placement) const {
+  std::vector<std::size_t> by_memory(placement.helpers.size());
+  std::iota(by_memory.begin(), by_memory.end(), 0);
+  const auto free_of = [&](std::size_t helper) {
+    return candidates[placement.helpers[helper]].free;
+  };
+  std::stable_sort(
+      by_memory.begin(), by_memory.end(),
+      [&](std::size_t a, std::size_t b) { return free_of(a) > free_of(b); });
+  placement.held.assign(placement.helpers.size(), TokenCount());
+  for (const std::size_t helper : by_memory) {
+    const TokenCount taken = std::min(missing, free_of(helper));
+    placement.held[helper] = taken;
+    missing -= taken;
+  }
+  return missing <= TokenCount();
 }
 
 bool PromptPlacer::Fits(const PromptDemand& demand, std::size_t engines) const {
-  const std::int64_t total =
-      timing_.memory.value() * static_cast<std::int64_t>(engines);
+  const std::size_t used = std::min(engines, kMaxHelpers + 1);
+  const auto total = static_cast<std::int64_t>(
+      kPlannedMemory * static_cast<double>(timing_.memory.value()) *
+      static_cast<double>(used));
   return (demand.prompt + demand.output).value() <= total;
 }
 
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -34,6 +34,9 @@
 struct PromptPlacement {
   std::size_t engine = 0;
   std::vector<std::size_t> helpers;
+  /// Tokens of the prompt that each helper holds; empty if the first engine has
+  /// memory for all.
+  std::vector<TokenCount> held;
   /// Reading time at each engine that takes part.
   Duration part_time{0};
   /// Time to the first event.
@@ -65,6 +68,12 @@
   /// A part is worth a helper from this reading time on: below, the latency
   /// between engines outweighs what the helper saves.
   static constexpr Duration kMinPart = std::chrono::milliseconds(25);
+  /// Part of an engine's memory that is planned for. The rest covers that
+  /// engines hand out memory in blocks.
+  static constexpr double kPlannedMemory = 0.98;
+  /// What a reservation adds to the time to the first event: a call to each
+  /// holder before the prompt is sent.
+  static constexpr Duration kReserveCost = std::chrono::milliseconds(40);
   /// Part of a stream's pause limit that is planned for. The rest covers what
   /// the entries do not know of each other yet.
   static constexpr double kPlannedPause = 0.8;
@@ -90,8 +99,19 @@
       const std::vector<Candidate>& candidates) const;
   std::vector<Candidate> Assess(const PromptDemand& demand,
                                 const std::vector<EngineView>& engines) const;
+  std::optional<PromptPlacement> SplitOver(
+      const PromptDemand& demand,
+      Duration work,
+      std::size_t helpers,
+      const std::vector<Candidate>& candidates,
+      const std::vector<const Candidate*>& by_start) const;
+  /// Divides `missing` tokens among the helpers; false if they lack memory.
+  bool DivideMemory(TokenCount missing,
+                    const std::vector<Candidate>& candidates,
+                    PromptPlacement& placement) const;
   Duration AcceptedBacklog(const PromptDemand& demand, Duration work) const;
-  static Duration HelperRoom(const Candidate& candidate, Duration backlog);
+  /// When a part could be read there, with what that costs others.
+  static Duration StartOf(const Candidate& candidate);
 
   EngineTiming timing_;
 };
--- a/src/kingcupdrift/routing/work_book.cc
+++ b/src/kingcupdrift/routing/work_book.cc
@@ -3,6 +3,26 @@
 #include <algorithm>
 
 namespace kingcupdrift {
+namespace {
+
+TokenCount HeldBy(const WorkNote& note, const EngineId& helper) {
+  for (std::size_t i = 0; i < note.held.size(); ++i) {
+    if (note.helpers[i] == helper) {
+      return note.held[i];
+    }
+  }
+  return {};
+}
+
+TokenCount HeldByFirst(const WorkNote& note) {
+  TokenCount tokens = note.prompt + note.output;
+  for (const TokenCount it : note.held) {
+    tokens -= it;
+  }
+  return tokens;
+}
+
+}  // namespace
 
 void WorkBook::Apply(const InstanceId& owner, const WorkNote& note) {
   switch (note.phase) {
@@ -124,10 +144,11 @@
     const WorkNote& note = works_.at(attempt).note;
     if (note.engine != id) {
       out.helping += note.phase == WorkPhase::kReading ? 1 : 0;
+      out.context += HeldBy(note, id);
       continue;
     }
     ++out.streams;
-    out.context += note.prompt + note.output;
+    out.context += HeldByFirst(note);
     if (out.pause_limit == Duration::zero() ||
         note.pause_limit < out.pause_limit) {
       out.pause_limit = note.pause_limit;
--- a/tests/forwarding/forwarder_test.cc
+++ b/tests/forwarding/forwarder_test.cc
@@ -196,5 +196,53 @@
   CHECK_FALSE(harness.Handle(quick)->IsOver());
 }
 
+TEST_CASE("a prompt larger than one engine's memory reserves the rest first") {
+  ForwardingHarness harness;
+  harness.AddEngines(8);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(700'000));
+  CHECK(harness.targets.sends.empty());
+  REQUIRE_FALSE(harness.targets.reservations.empty());
+  harness.targets.AnswerOrders();
+  REQUIRE(harness.targets.sends.size() == 1);
+  TokenCount held;
+  for (const PromptHelper& it : harness.send(0).helpers) {
+    held += it.held;
+    CHECK((it.held > TokenCount()) == !it.reservation.empty());
+  }
+  CHECK(held >= TokenCount(700'100 - 315'000));
+  harness.Stream(0, Event(0));
+  harness.send(0).observer->OnEnd();
+  CHECK(caller->has_ended);
+  CHECK(harness.targets.reservations.empty());
+}
+
+TEST_CASE("a reservation that fails gives back the others and is tried anew") {
+  ForwardingHarness harness;
+  harness.AddEngines(8);
+  for (int i = 0; i < 8; ++i) {
+    harness.targets.full.insert(EngineId("engine-" + std::to_string(10 + i)));
+  }
+  harness.Handle(ForwardingHarness::Prompt(700'000));
+  harness.targets.AnswerOrders();
+  CHECK(harness.targets.reservations.empty());
+  CHECK(harness.notes.back().phase == WorkPhase::kEnded);
+  harness.targets.full.clear();
+  harness.clock.Advance(milliseconds(50));
+  harness.targets.AnswerOrders();
+  CHECK(harness.targets.sends.size() == 1);
+}
+
+TEST_CASE("reserved memory is renewed as long as it is used") {
+  ForwardingHarness harness;
+  harness.AddEngines(8);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(700'000));
+  harness.targets.AnswerOrders();
+  harness.targets.reservations.clear();
+  harness.clock.Advance(milliseconds(1000));
+  CHECK_FALSE(harness.targets.reservations.empty());
+  caller->on_closed();
+  CHECK(harness.targets.reservations.empty());
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -80,19 +80,27 @@
                                TokenCount tokens,
                                Duration,
                                DoneCallback callback) {
+  Result<void> done;
   if (full.contains(engine.id)) {
-    callback(MakeError(ErrorCode::kOverloaded, "no memory"));
-    return;
+    done = MakeError(ErrorCode::kOverloaded, "no memory");
+  } else {
+    reservations[{engine.id, reservation}] = tokens;
+  }
+  unanswered.push_back(
+      [done, callback = std::move(callback)] { callback(done); });
+}
+
+void FakeTargetClient::AnswerOrders() {
+  for (const auto& answer : std::exchange(unanswered, {})) {
+    answer();
   }
-  reservations[{engine.id, reservation}] = tokens;
-  callback({});
 }
 
 void FakeTargetClient::Release(const EngineAddress& engine,
                                const ReservationId& reservation,
                                DoneCallback callback) {
   reservations.erase({engine.id, reservation});
-  callback({});
+  unanswered.push_back([callback = std::move(callback)] { callback({}); });
 }
 
 ForwardingHarness::ForwardingHarness()
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -50,12 +50,16 @@
                const ReservationId& reservation,
                DoneCallback callback) override;
 
+  /// Answers the orders received since the last time.
+  void AnswerOrders();
+
   // Shared with calls, which may outlive the client in a failing test.
   std::vector<std::shared_ptr<TargetSend>> sends;
   /// Reservations in force, by engine and identifier.
   std::map<std::pair<EngineId, ReservationId>, TokenCount> reservations;
   /// Engines that refuse reservations.
   std::set<EngineId> full;
+  std::vector<std::function<void()>> unanswered;
 };
 
 /// A forwarder with one route for prompts, one for idempotent and one for
