--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -136,7 +136,7 @@
   ForwardAttemptResult result;
   result.end = end;
   result.detail = std::move(detail);
-  result.engine_at_fault = answer_.engine_at_fault;
+  result.at_fault = answer_.at_fault;
   result.response.status = answer_.status;
   result.response.headers = std::move(answer_.headers);
   result.response.body = std::make_shared<const std::string>(std::move(body_));
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -2,6 +2,7 @@
 #define KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_ATTEMPT_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "kingcupdrift/base/base.h"
@@ -26,8 +27,8 @@
 struct ForwardAttemptResult {
   ForwardAttemptEnd end = ForwardAttemptEnd::kBroken;
   ServiceResponse response;
-  /// The engine that a refusal blames; empty if it names none.
-  EngineId engine_at_fault;
+  /// The engine that a refusal blames; absent if it names none.
+  std::optional<Endpoint> at_fault;
   std::string detail;
 };
 
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -410,9 +410,8 @@
 }
 
 void ForwardRequest::HandleDeclined(const ForwardAttemptResult& result) {
-  const EngineId target = ended_attempts_.back()->target().id;
-  const EngineId& at_fault =
-      result.engine_at_fault.empty() ? target : result.engine_at_fault;
+  const EngineId target = choice_.target.id;
+  const EngineId at_fault = EngineAtFault(result);
   context_.log.Add("forward", "declined")
       .Text("request", call_.id.value())
       .Text("target", target.value())
@@ -427,6 +426,16 @@
   }
 }
 
+EngineId ForwardRequest::EngineAtFault(
+    const ForwardAttemptResult& result) const {
+  for (const PromptHelper& it : choice_.helpers) {
+    if (it.engine.endpoint == result.at_fault) {
+      return it.engine.id;
+    }
+  }
+  return choice_.target.id;
+}
+
 void ForwardRequest::HandleBroken(const ForwardAttemptResult& result) {
   may_have_run_ = true;
   context_.log.Add("forward", "broken")
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -82,6 +82,8 @@
 
   void HandleDeclined(const ForwardAttemptResult& result);
   void HandleBroken(const ForwardAttemptResult& result);
+  /// The target, or the helper that it blames.
+  EngineId EngineAtFault(const ForwardAttemptResult& result) const;
   bool CanRepeat() const;
   /// Places the request again; false if it must end.
   bool SendAgain(bool counts_as_further_send);
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -43,8 +43,9 @@
   RequestId request;
   /// The target says that it did not run the request and will not.
   bool is_not_run = false;
-  /// The engine that a refusal blames; empty if it names none.
-  EngineId engine_at_fault;
+  /// The engine that a refusal blames, which may be a helper; absent if it
+  /// names none.
+  std::optional<Endpoint> at_fault;
 };
 
 /// Receives an answer as it arrives. After OnEnd or OnFailed no more follow.
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -89,27 +89,39 @@
     const PromptDemand& demand,
     Duration work,
     const std::vector<Candidate>& candidates) const {
-  // A free engine is taken once the others are late by a third of the target.
-  const Duration opening_cost = demand.target_latency / 3;
   const TokenCount needed = demand.prompt + demand.output;
   const bool is_urgent = demand.waited > demand.target_latency / 2;
+  const Duration good = Scale(demand.target_latency, kGoodLatency);
+  // A free engine is taken once the others are late by a third of the target.
+  const Duration opening_cost = demand.target_latency / 3;
   std::optional<PromptPlacement> best;
   Duration best_cost{0};
+  int best_streams = 0;
   for (const Candidate& it : candidates) {
-    const bool is_similar =
-        it.work.streams > 0 && it.work.pause_limit <= demand.pause_limit;
     if (!it.has_slot || it.free < needed || (!is_urgent && !it.Bears(work))) {
       continue;
     }
+    const bool is_similar =
+        it.work.streams > 0 && it.work.pause_limit <= demand.pause_limit;
     PromptPlacement placement;
     placement.engine = it.position;
     placement.part_time = work;
     placement.first_event = it.pass / 2 + it.work.backlog + work + it.pass_with;
-    const Duration cost =
-        placement.first_event + (is_similar ? Duration::zero() : opening_cost);
-    if (!best || cost < best_cost) {
+    Duration cost = placement.first_event;
+    int streams = 0;
+    if (!is_similar) {
+      cost += opening_cost;
+    } else if (placement.first_event + demand.waited <= good) {
+      // Good enough: the fullest of these keeps the others free.
+      cost = Duration::zero();
+      streams = it.work.streams;
+    }
+    const bool is_better =
+        cost < best_cost || (cost == best_cost && streams > best_streams);
+    if (!best || is_better) {
       best = placement;
       best_cost = cost;
+      best_streams = streams;
     }
   }
   return best;
@@ -122,6 +134,18 @@
   return Scale(kMaxBacklog, patience / std::sqrt(size));
 }
 
+// Waiting for helpers beats reading with too few of them, until the caller's
+// expectation cannot be met any more.
+Duration PromptPlacer::AcceptedFirstEvent(const PromptDemand& demand,
+                                          Duration work) const {
+  const Duration ideal = work / static_cast<Duration::rep>(kMaxHelpers + 1) +
+                         timing_.PassTime(1, demand.prompt + demand.output);
+  if (demand.waited > demand.target_latency) {
+    return Duration::max();
+  }
+  return std::max(demand.target_latency - demand.waited, 2 * ideal);
+}
+
 std::optional<PromptPlacement> PromptPlacer::PlaceSplit(
     const PromptDemand& demand,
     Duration work,
@@ -137,6 +161,7 @@
                    [](const Candidate* a, const Candidate* b) {
                      return StartOf(*a) < StartOf(*b);
                    });
+  const Duration limit = AcceptedFirstEvent(demand, work);
   std::optional<PromptPlacement> best;
   for (std::size_t helpers = 0; helpers <= kMaxHelpers; ++helpers) {
     const Duration part = work / static_cast<Duration::rep>(helpers + 1);
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -68,6 +68,9 @@
   /// A part is worth a helper from this reading time on: below, the latency
   /// between engines outweighs what the helper saves.
   static constexpr Duration kMinPart = std::chrono::milliseconds(25);
+  /// Part of the target latency that is good enough for a short prompt. The
+  /// rest covers the way to the caller and what the entries do not know yet.
+  static constexpr double kGoodLatency = 0.6;
   /// Part of an engine's memory that is planned for. The rest covers that
   /// engines hand out memory in blocks.
   static constexpr double kPlannedMemory = 0.98;
@@ -109,6 +112,7 @@
   bool DivideMemory(TokenCount missing,
                     const std::vector<Candidate>& candidates,
                     PromptPlacement& placement) const;
+  Duration AcceptedFirstEvent(const PromptDemand& demand, Duration work) const;
   Duration AcceptedBacklog(const PromptDemand& demand, Duration work) const;
   /// When a part could be read there, with what that costs others.
   static Duration StartOf(const Candidate& candidate);
--- a/tests/forwarding/forwarder_test.cc
+++ b/tests/forwarding/forwarder_test.cc
@@ -216,6 +216,18 @@
   CHECK(harness.targets.reservations.empty());
 }
 
+TEST_CASE("a helper that an engine blames does not help the next time") {
+  ForwardingHarness harness;
+  harness.AddEngines(8);
+  harness.Handle(ForwardingHarness::Prompt(150'000));
+  const EngineAddress blamed = harness.send(0).helpers.at(0).engine;
+  harness.Decline(0, blamed.endpoint);
+  REQUIRE(harness.targets.sends.size() == 2);
+  for (const PromptHelper& it : harness.send(1).helpers) {
+    CHECK(it.engine.id != blamed.id);
+  }
+}
+
 TEST_CASE("a reservation that fails gives back the others and is tried anew") {
   ForwardingHarness harness;
   harness.AddEngines(8);
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -145,7 +145,8 @@
 void ForwardingHarness::AddEngines(int count) {
   for (int i = 0; i < count; ++i) {
     const std::string id = "engine-" + std::to_string(10 + i);
-    forwarder->UpdateTarget({{EngineId(id), {"10.0.0.1", 80}},
+    const auto port = static_cast<std::uint16_t>(8000 + i);
+    forwarder->UpdateTarget({{EngineId(id), {"10.0.0.1", port}},
                              ServiceId("model"),
                              FailureDomain("a"),
                              16});
@@ -198,8 +199,10 @@
   send(i).observer->OnEnd();
 }
 
-void ForwardingHarness::Decline(std::size_t i) {
+void ForwardingHarness::Decline(std::size_t i,
+                                std::optional<Endpoint> at_fault) {
   TargetAnswer answer;
+  answer.at_fault = std::move(at_fault);
   answer.status = 503;
   answer.is_not_run = true;
   send(i).observer->OnAnswer(answer);
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -79,8 +79,8 @@
 
   /// The target answers send `i` whole.
   void Answer(std::size_t i, int status, const std::string& body);
-  /// The target refuses send `i` without having run it.
-  void Decline(std::size_t i);
+  /// The target refuses send `i` without having run it, and may blame another.
+  void Decline(std::size_t i, std::optional<Endpoint> at_fault = std::nullopt);
   /// Begins a stream and delivers `bytes`.
   void Stream(std::size_t i, const std::string& bytes);
   void Fail(std::size_t i, ErrorCode code);
