Tell a new entry the work under way, and listen to a leaving one to its end

Cause: an entry that starts knew nothing of what runs at the engines, and took a leaving entry off its list at SIGTERM although that one goes on for seconds.

Change: an entry asks each other one for its whole work until it gets it; a leaving entry keeps its record in the store until its requests have ended.

--- a/src/kingcupdrift/forwarding/entry_board.cc
+++ b/src/kingcupdrift/forwarding/entry_board.cc
@@ -57,7 +57,9 @@
               ToString(record.peer_endpoint));
     // Its first words are awaited from now on.
     peer.last_heard = clock_.Now();
-    Send(record.peer_endpoint, StateMessage());
+    WorkNotesMessage message = StateMessage();
+    message.wants_complete = true;
+    Send(record.peer_endpoint, std::move(message));
   }
 }
 
@@ -108,8 +110,14 @@
 void EntryBoard::Tick() {
   const MonotonicTime now = clock_.Now();
   for (auto& [id, peer] : peers_) {
+    if (!peer.has_complete) {
+      WorkNotesMessage message = StateMessage();
+      message.wants_complete = true;
+      Send(peer.record.peer_endpoint, std::move(message));
+    }
     if (!peer.is_lost && now - peer.last_heard > kSilenceLimit) {
       peer.is_lost = true;
+      peer.has_complete = false;
       kLog.Warning("Entry {} has been silent for {} ms.", id.value(),
                    (now - peer.last_heard).count() / 1000);
       observer_.OnEntryLost(id);
@@ -154,13 +162,27 @@
 
 void EntryBoard::TakeNotes(const InstanceId& sender,
                            const WorkNotesMessage& message) {
+  Peer& peer = *FindPeer(sender);
+  if (message.is_complete) {
+    peer.has_complete = true;
+    observer_.OnEntryLost(sender);
+  }
   for (const WorkNote& it : message.notes) {
     observer_.OnWork(sender, it);
   }
-  if (Peer* const peer = FindPeer(sender)) {
-    peer->is_leaving = message.is_leaving;
-    AskIfBehind(*peer, message);
+  peer.is_leaving = message.is_leaving;
+  if (message.wants_complete) {
+    SendCompleteWork(peer);
   }
+  AskIfBehind(peer, message);
+}
+
+void EntryBoard::SendCompleteWork(const Peer& peer) {
+  // What waits to be told is among the own work already.
+  WorkNotesMessage message = StateMessage();
+  message.is_complete = true;
+  message.notes = observer_.OwnWork();
+  Send(peer.record.peer_endpoint, std::move(message));
 }
 
 void EntryBoard::AskIfBehind(const Peer& peer,
--- a/src/kingcupdrift/forwarding/entry_board.h
+++ b/src/kingcupdrift/forwarding/entry_board.h
@@ -39,7 +39,9 @@
  public:
   virtual ~EntryBoardObserver() = default;
   virtual void OnWork(const InstanceId& owner, const WorkNote& note) = 0;
-  /// The entry is gone, or out of reach.
+  /// Own work under way.
+  virtual std::vector<WorkNote> OwnWork() const = 0;
+  /// The entry is gone or out of reach, or will tell its work anew.
   virtual void OnEntryLost(const InstanceId& entry) = 0;
   virtual OwnState CurrentState() const = 0;
   virtual StoreStateReplyMessage StateAfter(StoreVersion version) const = 0;
@@ -90,10 +92,13 @@
     bool is_heard = false;
     bool is_lost = false;
     bool is_leaving = false;
+    /// Its work under way is known here.
+    bool has_complete = false;
   };
 
   void Receive(const PeerMessage& message);
   void TakeNotes(const InstanceId& sender, const WorkNotesMessage& message);
+  void SendCompleteWork(const Peer& peer);
   void AskIfBehind(const Peer& peer, const WorkNotesMessage& message);
   void Flush();
   void Tick();
--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -79,6 +79,10 @@
     }
   }
 
+  std::vector<WorkNote> OwnWork() const override {
+    return context_.book.WorkOf(context_.settings.instance);
+  }
+
   void RemovePeer(const InstanceId& owner) override {
     context_.book.RemoveOwner(owner);
     context_.queue.Wake();
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "kingcupdrift/base/base.h"
 #include "kingcupdrift/forwarding/route_table.h"
@@ -63,6 +65,8 @@
 
   virtual void OnWorkSent(WorkListener listener) = 0;
   virtual void ApplyPeerWork(const InstanceId& owner, const WorkNote& note) = 0;
+  /// This entry's own work under way, for an entry that has just come.
+  virtual std::vector<WorkNote> OwnWork() const = 0;
   virtual void RemovePeer(const InstanceId& owner) = 0;
   /// Entries that share the budget of further sends, this one included.
   virtual void SetEntryCount(std::size_t count) = 0;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -66,10 +66,12 @@
   void StartLeaving(Duration limit) override {
     is_leaving_ = true;
     forwarder_->StopBy(deps_.clock.Now() + limit);
-    own_key_.Stop();
+    // The own key stays: others must still hear of the work that goes on here.
     board_.AnnounceState();
   }
 
+  void Finish() override { own_key_.Stop(); }
+
   bool IsLeaving() const override { return is_leaving_; }
 
   std::size_t RequestsInProgress() const override {
@@ -82,6 +84,10 @@
     forwarder_->ApplyPeerWork(owner, note);
   }
 
+  std::vector<WorkNote> OwnWork() const override {
+    return forwarder_->OwnWork();
+  }
+
   void OnEntryLost(const InstanceId& entry) override {
     forwarder_->RemovePeer(entry);
   }
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -104,8 +104,8 @@
   kEnded,
 };
 
-/// What one forwarded prompt occupies at engines. Sent whole at `kReading`;
-/// later phases name the work only.
+/// What one forwarded prompt occupies at engines. Later phases may name the
+/// work only, without its engines.
 struct WorkNote {
   /// Unique for one send.
   AttemptId attempt;
@@ -128,6 +128,10 @@
 /// Work that the sender started, moved on or ended, and what it knows.
 struct WorkNotesMessage {
   std::vector<WorkNote> notes;
+  /// `notes` names all that the sender has under way.
+  bool is_complete = false;
+  /// The sender asks for such a message.
+  bool wants_complete = false;
   /// The sender takes no new connections.
   bool is_leaving = false;
   /// Version of the platform's store that the sender has seen.
--- a/src/kingcupdrift/net/internal/peer_codec.cc
+++ b/src/kingcupdrift/net/internal/peer_codec.cc
@@ -126,7 +126,8 @@
     }
     const auto table = wire::CreateWorkNotes(
         builder, builder.CreateVector(notes), message.is_leaving,
-        message.store_version.value(), message.has_store);
+        message.store_version.value(), message.has_store, message.is_complete,
+        message.wants_complete);
     return {wire::Payload::WorkNotes, table.Union()};
   }
 
@@ -305,6 +306,8 @@
   message.is_leaving = table.is_leaving();
   message.store_version = StoreVersion(table.store_version());
   message.has_store = table.has_store();
+  message.is_complete = table.is_complete();
+  message.wants_complete = table.wants_complete();
   if (table.notes() == nullptr) {
     return message;
   }
--- a/src/kingcupdrift/routing/work_book.cc
+++ b/src/kingcupdrift/routing/work_book.cc
@@ -30,6 +30,9 @@
       Start(owner, note);
       return;
     case WorkPhase::kWriting:
+      if (!works_.contains(note.attempt) && !note.engine.empty()) {
+        Start(owner, note);
+      }
       if (const auto it = works_.find(note.attempt); it != works_.end()) {
         FinishReading(it->second);
       }
@@ -116,6 +119,16 @@
   }
 }
 
+std::vector<WorkNote> WorkBook::WorkOf(const InstanceId& owner) const {
+  std::vector<WorkNote> notes;
+  for (const auto& [attempt, work] : works_) {
+    if (work.owner == owner) {
+      notes.push_back(work.note);
+    }
+  }
+  return notes;
+}
+
 void WorkBook::RemoveEngine(const EngineId& engine) {
   const auto it = engines_.find(engine);
   if (it == engines_.end()) {
--- a/src/kingcupdrift/routing/work_book.h
+++ b/src/kingcupdrift/routing/work_book.h
@@ -37,6 +37,9 @@
   /// The engine started anew, or is gone: nothing runs there.
   void RemoveEngine(const EngineId& engine);
 
+  /// All work of one entry, as it can be told to another.
+  std::vector<WorkNote> WorkOf(const InstanceId& owner) const;
+
   EngineWork At(const EngineId& engine) const;
 
   /// No request lasts longer; bounds what a lost note leaves behind.
