--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -354,6 +354,11 @@
 }
 
 void ForwardRequest::OnStreamEvents(const std::string& events) {
+  const MonotonicTime now = context_.clock.Now();
+  if (last_event_at_) {
+    longest_pause_ = std::max(longest_pause_, now - *last_event_at_);
+  }
+  last_event_at_ = now;
   sink_->Write(events);
   if (sink_->Unsent() > kMaxUnsentBytes && attempt_) {
     attempt_->SetPaused(true);
@@ -533,6 +538,7 @@
       .Number("sends", sends_)
       .Number("declined", unsent_)
       .Milliseconds("first", first_event_)
+      .Milliseconds("pause", longest_pause_)
       .Milliseconds("total", context_.clock.Now() - arrival_)
       .Text("reason", reason);
   on_done_();
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -129,6 +129,8 @@
   bool has_begun_ = false;
   bool is_done_ = false;
   Duration first_event_{0};
+  std::optional<MonotonicTime> last_event_at_;
+  Duration longest_pause_{0};
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -161,7 +161,6 @@
                    [](const Candidate* a, const Candidate* b) {
                      return StartOf(*a) < StartOf(*b);
                    });
-  const Duration limit = AcceptedFirstEvent(demand, work);
   std::optional<PromptPlacement> best;
   for (std::size_t helpers = 0; helpers <= kMaxHelpers; ++helpers) {
     const Duration part = work / static_cast<Duration::rep>(helpers + 1);
@@ -174,6 +173,9 @@
       best = placement;
     }
   }
+  if (best && best->first_event > AcceptedFirstEvent(demand, work)) {
+    return std::nullopt;
+  }
   return best;
 }
 
--- /dev/null
+++ b/tests/routing/prompt_placer_test.cc
@@ -0,0 +1,133 @@
+#include "kingcupdrift/routing/prompt_placer.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace kingcupdrift {
+namespace {
+
+using std::chrono::milliseconds;
+
+EngineTiming Timing() {
+  EngineTiming timing;
+  timing.slots = 16;
+  timing.memory = TokenCount(315'000);
+  timing.stride = 51;
+  timing.step = std::chrono::microseconds(850);
+  timing.step_us_per_stream = 4.25;
+  timing.step_us_per_context_token = 0.00285;
+  timing.read_us_per_token = 1'000'000 / 177'000.0;
+  timing.read_us_per_pair = 0.000184;
+  return timing;
+}
+
+PromptDemand Short() {
+  return {TokenCount(5000), TokenCount(1600), milliseconds(300),
+          milliseconds(250), Duration::zero()};
+}
+
+PromptDemand Long(std::int64_t tokens = 154'000) {
+  return {TokenCount(tokens), TokenCount(800), milliseconds(3000),
+          milliseconds(1000), Duration::zero()};
+}
+
+std::vector<EngineView> Idle(int count) {
+  std::vector<EngineView> views;
+  for (int i = 0; i < count; ++i) {
+    views.push_back({EngineId(std::to_string(i)), EngineWork()});
+  }
+  return views;
+}
+
+EngineWork Streams(int count, Duration pause) {
+  EngineWork work;
+  work.streams = count;
+  work.context = TokenCount(count * 6600);
+  work.pause_limit = pause;
+  return work;
+}
+
+TEST_CASE("short prompts gather at the fullest engine that answers in time") {
+  const PromptPlacer placer(Timing());
+  std::vector<EngineView> engines = Idle(4);
+  engines[1].work = Streams(3, milliseconds(250));
+  engines[2].work = Streams(8, milliseconds(250));
+  CHECK(placer.Place(Short(), engines)->engine == 2);
+  engines[2].work = Streams(16, milliseconds(250));
+  CHECK(placer.Place(Short(), engines)->engine == 1);
+}
+
+TEST_CASE("a short prompt avoids an engine that reads a long one") {
+  const PromptPlacer placer(Timing());
+  std::vector<EngineView> engines = Idle(2);
+  engines[0].work.backlog = milliseconds(900);
+  CHECK(placer.Place(Short(), engines)->engine == 1);
+}
+
+TEST_CASE("a long prompt is read by many engines at once") {
+  const PromptPlacer placer(Timing());
+  const auto placement = placer.Place(Long(), Idle(23));
+  REQUIRE(placement);
+  CHECK(placement->helpers.size() == PromptPlacer::kMaxHelpers);
+  CHECK(placement->first_event < milliseconds(400));
+  std::set<std::size_t> used(placement->helpers.begin(),
+                             placement->helpers.end());
+  used.insert(placement->engine);
+  CHECK(used.size() == PromptPlacer::kMaxHelpers + 1);
+}
+
+TEST_CASE("a giant among short streams reads only where none stands still") {
+  const PromptPlacer placer(Timing());
+  std::vector<EngineView> engines = Idle(12);
+  for (std::size_t i = 0; i < 6; ++i) {
+    engines[i].work = Streams(8, milliseconds(250));
+  }
+  const auto placement = placer.Place(Long(250'000), engines);
+  REQUIRE(placement);
+  CHECK(placement->engine >= 6);
+  for (const std::size_t it : placement->helpers) {
+    CHECK(it >= 6);
+  }
+}
+
+TEST_CASE(
+    "a long prompt waits where reading it would take one engine for long") {
+  const PromptPlacer placer(Timing());
+  std::vector<EngineView> engines = Idle(10);
+  for (std::size_t i = 1; i < engines.size(); ++i) {
+    engines[i].work = Streams(8, milliseconds(250));
+  }
+  PromptDemand demand = Long(200'000);
+  CHECK_FALSE(placer.Place(demand, engines));
+  // Once it is late anyway, one engine is better than none.
+  demand.waited = milliseconds(3100);
+  CHECK(placer.Place(demand, engines));
+}
+
+TEST_CASE("a prompt larger than one engine's memory is held by several") {
+  const PromptPlacer placer(Timing());
+  const auto placement = placer.Place(Long(700'000), Idle(10));
+  REQUIRE(placement);
+  TokenCount held;
+  for (const TokenCount it : placement->held) {
+    CHECK(it <= Timing().memory);
+    held += it;
+  }
+  CHECK(held + Timing().memory >= TokenCount(700'800));
+  CHECK_FALSE(placer.Fits(Long(700'000), 2));
+}
+
+TEST_CASE("memory that is nearly full takes no prompt that would overrun it") {
+  const PromptPlacer placer(Timing());
+  std::vector<EngineView> engines = Idle(2);
+  engines[0].work = Streams(2, milliseconds(250));
+  engines[0].work.context = TokenCount(310'000);
+  engines[1].work = Streams(2, milliseconds(250));
+  CHECK(placer.Place(Short(), engines)->engine == 1);
+  engines[1].work.context = TokenCount(310'000);
+  CHECK_FALSE(placer.Place(Short(), engines));
+}
+
+}  // namespace
+}  // namespace kingcupdrift
--- /dev/null
+++ b/tests/store/leased_key_test.cc
@@ -0,0 +1,64 @@
+#include "kingcupdrift/store/leased_key.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/fakes/fake_store.h"
+#include "tests/fakes/manual_clock.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct KeyHarness {
+  std::size_t Count() { return model.List("entries/").size(); }
+
+  ManualClock clock;
+  SeededRandom random{1};
+  StoreModel model{clock};
+  FakeStore store{FakeStoreOptions{}, model, clock};
+  std::unique_ptr<LeasedKey> key =
+      std::make_unique<LeasedKey>(store, clock, random, "entries/", "value");
+};
+
+TEST_CASE("a value lives as long as its process") {
+  KeyHarness harness;
+  harness.key->Start();
+  harness.clock.Advance(seconds(30));
+  CHECK(harness.Count() == 1);
+  harness.key.reset();
+  harness.clock.Advance(LeasedKey::kTimeToLive);
+  CHECK(harness.Count() == 0);
+}
+
+TEST_CASE("a value is back after its lease ran out while the store was away") {
+  KeyHarness harness;
+  harness.key->Start();
+  harness.clock.Advance(seconds(1));
+  harness.model.SetFault({true});
+  harness.clock.Advance(2 * LeasedKey::kTimeToLive);
+  harness.model.SetFault({});
+  harness.clock.Advance(LeasedKey::kTimeToLive);
+  CHECK(harness.Count() == 1);
+}
+
+TEST_CASE("a write whose reply is lost leaves one value in the end") {
+  KeyHarness harness;
+  harness.model.LoseReplies(2);
+  harness.key->Start();
+  harness.clock.Advance(seconds(20));
+  CHECK(harness.Count() == 1);
+}
+
+TEST_CASE("a stopped process takes its value away") {
+  KeyHarness harness;
+  harness.key->Start();
+  harness.clock.Advance(seconds(1));
+  harness.key->Stop();
+  harness.clock.Advance(milliseconds(100));
+  CHECK(harness.Count() == 0);
+}
+
+}  // namespace
+}  // namespace kingcupdrift::fakes
