--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -157,6 +157,7 @@
   demand.target_latency = route_->target_latency;
   demand.pause_limit = route_->pause_limit;
   demand.waited = context_.clock.Now() - arrival_;
+  demand.seed = context_.random.Next();
   return demand;
 }
 
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -85,43 +85,67 @@
   return PlaceSplit(demand, work, candidates);
 }
 
+// Short prompts share just as many engines as their streams need, so that the
+// others stay free for long reads. The fullest engines are those, so that an
+// engine empties once fewer are needed.
+std::vector<bool> PromptPlacer::ChooseShared(
+    const PromptDemand& demand,
+    const std::vector<Candidate>& candidates) const {
+  const auto has_similar = [&demand](const Candidate& it) {
+    return it.work.streams > 0 && it.work.pause_limit <= demand.pause_limit;
+  };
+  std::vector<const Candidate*> by_streams;
+  int streams = 0;
+  for (const Candidate& it : candidates) {
+    if (has_similar(it)) {
+      by_streams.push_back(&it);
+      streams += it.work.streams;
+    }
+  }
+  std::stable_sort(by_streams.begin(), by_streams.end(),
+                   [](const Candidate* a, const Candidate* b) {
+                     return a->work.streams > b->work.streams;
+                   });
+  const double per_engine = kSharedFill * timing_.slots;
+  const auto wanted = static_cast<std::size_t>(
+      std::ceil(static_cast<double>(streams + 1) / per_engine));
+  by_streams.resize(std::min(by_streams.size(), wanted));
+  std::vector<bool> is_shared(candidates.size(), false);
+  for (const Candidate* it : by_streams) {
+    is_shared[it->position] = true;
+  }
+  return is_shared;
+}
+
 std::optional<PromptPlacement> PromptPlacer::PlaceWhole(
     const PromptDemand& demand,
     Duration work,
     const std::vector<Candidate>& candidates) const {
   const TokenCount needed = demand.prompt + demand.output;
   const bool is_urgent = demand.waited > demand.target_latency / 2;
-  const Duration good = Scale(demand.target_latency, kGoodLatency);
-  // A free engine is taken once the others are late by a third of the target.
+  const std::vector<bool> is_shared = ChooseShared(demand, candidates);
+  // A free engine is taken once the shared ones are late by a third of the
+  // target.
   const Duration opening_cost = demand.target_latency / 3;
+  SeededRandom random(demand.seed);
   std::optional<PromptPlacement> best;
   Duration best_cost{0};
-  int best_streams = 0;
   for (const Candidate& it : candidates) {
+    const auto spread = Scale(kSpread, random.Unit());
     if (!it.has_slot || it.free < needed || (!is_urgent && !it.Bears(work))) {
       continue;
     }
-    const bool is_similar =
-        it.work.streams > 0 && it.work.pause_limit <= demand.pause_limit;
     PromptPlacement placement;
     placement.engine = it.position;
     placement.part_time = work;
     placement.first_event = it.pass / 2 + it.work.backlog + work + it.pass_with;
-    Duration cost = placement.first_event;
-    int streams = 0;
-    if (!is_similar) {
+    Duration cost = placement.first_event + spread;
+    if (!is_shared[it.position]) {
       cost += opening_cost;
-    } else if (placement.first_event + demand.waited <= good) {
-      // Good enough: the fullest of these keeps the others free.
-      cost = Duration::zero();
-      streams = it.work.streams;
     }
-    const bool is_better =
-        cost < best_cost || (cost == best_cost && streams > best_streams);
-    if (!best || is_better) {
+    if (!best || cost < best_cost) {
       best = placement;
       best_cost = cost;
-      best_streams = streams;
     }
   }
   return best;
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -2,6 +2,7 @@
 #define KINGCUPDRIFT_ROUTING_PROMPT_PLACER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -22,6 +23,8 @@
   Duration pause_limit{0};
   /// How long the prompt has waited in the entry.
   Duration waited{0};
+  /// Draws between engines that are nearly alike.
+  std::uint64_t seed = 0;
 };
 
 /// One engine and what runs there.
@@ -68,9 +71,12 @@
   /// A part is worth a helper from this reading time on: below, the latency
   /// between engines outweighs what the helper saves.
   static constexpr Duration kMinPart = std::chrono::milliseconds(25);
-  /// Part of the target latency that is good enough for a short prompt. The
-  /// rest covers the way to the caller and what the entries do not know yet.
-  static constexpr double kGoodLatency = 0.6;
+  /// Part of the slots that short prompts fill at the engines they share. Each
+  /// further stream lengthens the passes that all others wait for.
+  static constexpr double kSharedFill = 0.5;
+  /// Random part of an engine's cost, so that entries which know the same do
+  /// not all choose the same engine: about one short prompt's reading.
+  static constexpr Duration kSpread = std::chrono::milliseconds(25);
   /// Part of an engine's memory that is planned for. The rest covers that
   /// engines hand out memory in blocks.
   static constexpr double kPlannedMemory = 0.98;
@@ -96,6 +102,9 @@
       const PromptDemand& demand,
       Duration work,
       const std::vector<Candidate>& candidates) const;
+  std::vector<bool> ChooseShared(
+      const PromptDemand& demand,
+      const std::vector<Candidate>& candidates) const;
   std::optional<PromptPlacement> PlaceSplit(
       const PromptDemand& demand,
       Duration work,
--- a/tests/routing/prompt_placer_test.cc
+++ b/tests/routing/prompt_placer_test.cc
@@ -23,13 +23,13 @@
 }
 
 PromptDemand Short() {
-  return {TokenCount(5000), TokenCount(1600), milliseconds(300),
-          milliseconds(250), Duration::zero()};
+  return {TokenCount(5000),  TokenCount(1600), milliseconds(300),
+          milliseconds(250), Duration::zero(), 1};
 }
 
 PromptDemand Long(std::int64_t tokens = 154'000) {
-  return {TokenCount(tokens), TokenCount(800), milliseconds(3000),
-          milliseconds(1000), Duration::zero()};
+  return {TokenCount(tokens), TokenCount(800),  milliseconds(3000),
+          milliseconds(1000), Duration::zero(), 1};
 }
 
 std::vector<EngineView> Idle(int count) {
@@ -48,14 +48,30 @@
   return work;
 }
 
-TEST_CASE("short prompts gather at the fullest engine that answers in time") {
+TEST_CASE("short prompts share as many engines as their streams need") {
   const PromptPlacer placer(Timing());
-  std::vector<EngineView> engines = Idle(4);
+  std::vector<EngineView> engines = Idle(6);
   engines[1].work = Streams(3, milliseconds(250));
+  engines[2].work = Streams(4, milliseconds(250));
+  // Eight streams fill half of one engine's slots.
+  PromptDemand demand = Short();
+  for (demand.seed = 0; demand.seed < 50; ++demand.seed) {
+    CHECK(placer.Place(demand, engines)->engine == 2);
+  }
   engines[2].work = Streams(8, milliseconds(250));
-  CHECK(placer.Place(Short(), engines)->engine == 2);
-  engines[2].work = Streams(16, milliseconds(250));
-  CHECK(placer.Place(Short(), engines)->engine == 1);
+  std::set<std::size_t> chosen;
+  for (demand.seed = 0; demand.seed < 50; ++demand.seed) {
+    chosen.insert(placer.Place(demand, engines)->engine);
+  }
+  CHECK(chosen == std::set<std::size_t>{1, 2});
+}
+
+TEST_CASE("a burst of short prompts spreads to further engines") {
+  const PromptPlacer placer(Timing());
+  std::vector<EngineView> engines = Idle(6);
+  engines[0].work = Streams(8, milliseconds(250));
+  engines[0].work.backlog = milliseconds(130);
+  CHECK(placer.Place(Short(), engines)->engine != 0);
 }
 
 TEST_CASE("a short prompt avoids an engine that reads a long one") {
