--- a/src/kingcupdrift/forwarding/entry_board.cc
+++ b/src/kingcupdrift/forwarding/entry_board.cc
@@ -44,11 +44,36 @@
   Tick();
 }
 
-void EntryBoard::Update(const std::string& key, const EntryRecord& record) {
-  if (record.id == own_.id) {
+bool EntryBoard::ReplaceAt(const EntryRecord& record, StoreVersion version) {
+  if (record.peer_endpoint == own_.peer_endpoint) {
+    return false;
+  }
+  std::vector<InstanceId> older;
+  for (const auto& [id, peer] : peers_) {
+    if (id == record.id || peer.record.peer_endpoint != record.peer_endpoint) {
+      continue;
+    }
+    if (peer.version > version) {
+      return false;
+    }
+    older.push_back(id);
+  }
+  for (const InstanceId& id : older) {
+    kLog.Info("Entry {} is replaced by {}.", id.value(), record.id.value());
+    peers_.erase(id);
+    observer_.OnEntryLost(id);
+  }
+  return true;
+}
+
+void EntryBoard::Update(const std::string& key,
+                        const EntryRecord& record,
+                        StoreVersion version) {
+  if (!ReplaceAt(record, version)) {
     return;
   }
   Peer& peer = peers_[record.id];
+  peer.version = version;
   const bool is_new = peer.keys.empty();
   peer.record = record;
   peer.keys.insert(key);
--- a/src/kingcupdrift/forwarding/entry_board.h
+++ b/src/kingcupdrift/forwarding/entry_board.h
@@ -59,8 +59,11 @@
              EntryBoardObserver& observer);
 
   void Start();
-  /// `key` names the record in the store.
-  void Update(const std::string& key, const EntryRecord& record);
+  /// `key` names the record in the store, `version` the write that made it. Of
+  /// two entries at one address only the newer lives.
+  void Update(const std::string& key,
+              const EntryRecord& record,
+              StoreVersion version);
   void Remove(const std::string& key);
 
   /// Tells all entries, together with what else comes within `kBatchDelay`.
@@ -88,6 +91,7 @@
   struct Peer {
     EntryRecord record;
     std::set<std::string> keys;
+    StoreVersion version;
     MonotonicTime last_heard{};
     bool is_heard = false;
     bool is_lost = false;
@@ -104,6 +108,9 @@
   void Tick();
   void Send(const Endpoint& peer, PeerPayload payload);
   WorkNotesMessage StateMessage() const;
+  /// Drops older entries at the record's address; false if a newer one is
+  /// there.
+  bool ReplaceAt(const EntryRecord& record, StoreVersion version);
   Peer* FindPeer(const InstanceId& id);
 
   Clock& clock_;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -126,7 +126,7 @@
     if (!event.value) {
       board_.Remove(event.key);
     } else if (const auto record = DecodeEntryRecord(event.value->value)) {
-      board_.Update(event.key, *record);
+      board_.Update(event.key, *record, event.version);
     } else {
       kLog.Warning("{}: {}.", event.key, record.error().detail);
     }
--- a/src/kingcupdrift/forwarding/target_directory.h
+++ b/src/kingcupdrift/forwarding/target_directory.h
@@ -38,9 +38,10 @@
   const TargetRecord* Find(const EngineId& id) const;
   bool IsUsable(const EngineId& id);
 
-  /// Targets that live are listed again within 2 s of the store's return, as
-  /// its operators state.
-  static constexpr Duration kLapseLimit = std::chrono::seconds(2);
+  /// Targets that live are listed again within 2 s of the store's return, and a
+  /// target that leaves must get nothing 2 s after it said so, as the operators
+  /// state. The difference covers the way of a request.
+  static constexpr Duration kLapseLimit = std::chrono::milliseconds(1800);
 
  private:
   struct Row {
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -123,15 +123,13 @@
     const std::vector<Candidate>& candidates) const {
   const TokenCount needed = demand.prompt + demand.output;
   const bool is_urgent = demand.waited > demand.target_latency / 2;
+  const Duration good = Scale(demand.target_latency, kGoodLatency);
   const std::vector<bool> is_shared = ChooseShared(demand, candidates);
-  // A free engine is taken once the shared ones are late by a third of the
-  // target.
-  const Duration opening_cost = demand.target_latency / 3;
   SeededRandom random(demand.seed);
   std::optional<PromptPlacement> best;
   Duration best_cost{0};
   for (const Candidate& it : candidates) {
-    const auto spread = Scale(kSpread, random.Unit());
+    const Duration spread = Scale(kSpread, random.Unit());
     if (!it.has_slot || it.free < needed || (!is_urgent && !it.Bears(work))) {
       continue;
     }
@@ -139,9 +137,13 @@
     placement.engine = it.position;
     placement.part_time = work;
     placement.first_event = it.pass / 2 + it.work.backlog + work + it.pass_with;
+    // Other engines are taken only once no shared one is good enough, and first
+    // those where a stream of a short prompt runs anyway.
     Duration cost = placement.first_event + spread;
     if (!is_shared[it.position]) {
-      cost += opening_cost;
+      const bool is_similar =
+          it.work.streams > 0 && it.work.pause_limit <= demand.pause_limit;
+      cost = std::max(cost, good) + (is_similar ? kSpread : 2 * kSpread);
     }
     if (!best || cost < best_cost) {
       best = placement;
@@ -158,16 +160,13 @@
   return Scale(kMaxBacklog, patience / std::sqrt(size));
 }
 
-// Waiting for helpers beats reading with too few of them, until the caller's
-// expectation cannot be met any more.
+// Waiting for helpers beats reading with too few of them. The longer the prompt
+// has waited, the fewer are enough.
 Duration PromptPlacer::AcceptedFirstEvent(const PromptDemand& demand,
                                           Duration work) const {
   const Duration ideal = work / static_cast<Duration::rep>(kMaxHelpers + 1) +
                          timing_.PassTime(1, demand.prompt + demand.output);
-  if (demand.waited > demand.target_latency) {
-    return Duration::max();
-  }
-  return std::max(demand.target_latency - demand.waited, 2 * ideal);
+  return 2 * ideal + demand.waited / kWaitedPerDelay;
 }
 
 std::optional<PromptPlacement> PromptPlacer::PlaceSplit(
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -15,7 +15,7 @@
 /// A model prompt that wants a place.
 struct PromptDemand {
   TokenCount prompt;
-  /// Tokens that the answer is expected to have.
+  /// Most tokens that the answer may have; memory is planned for them.
   TokenCount output;
   /// Time to the first event that the caller expects.
   Duration target_latency{0};
@@ -71,12 +71,18 @@
   /// A part is worth a helper from this reading time on: below, the latency
   /// between engines outweighs what the helper saves.
   static constexpr Duration kMinPart = std::chrono::milliseconds(25);
+  /// Part of the target latency that is good enough for a short prompt. The
+  /// rest covers the way to the caller and what the entries do not know yet.
+  static constexpr double kGoodLatency = 0.7;
   /// Part of the slots that short prompts fill at the engines they share. Each
   /// further stream lengthens the passes that all others wait for.
   static constexpr double kSharedFill = 0.5;
   /// Random part of an engine's cost, so that entries which know the same do
   /// not all choose the same engine: about one short prompt's reading.
   static constexpr Duration kSpread = std::chrono::milliseconds(25);
+  /// Part of the time waited by which a first event may be later than twice the
+  /// ideal.
+  static constexpr int kWaitedPerDelay = 4;
   /// Part of an engine's memory that is planned for. The rest covers that
   /// engines hand out memory in blocks.
   static constexpr double kPlannedMemory = 0.98;
--- a/src/kingcupdrift/store/store_mirror.cc
+++ b/src/kingcupdrift/store/store_mirror.cc
@@ -117,7 +117,9 @@
     return;
   }
   has_store_ = true;
-  settled_at_ = clock_.Now() + kSettlingTime;
+  if (is_complete_) {
+    settled_at_ = clock_.Now() + kSettlingTime;
+  }
   kLog.Info("The store answers; version {}.", version_.value());
 }
 
