Split the forwarded request by concern, and test the adapter and the entry board

No behaviour changes. New tests: entry_board_test, and tests/platform for settings, decoding, headers and the store client against a small stand-in.

--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -69,7 +69,7 @@
   std::vector<const TargetRecord*> Targets();
   void Wait();
   /// Reserves memory first where the choice needs it.
-  void Start(const Choice& choice);
+  void Dispatch(const Choice& choice);
   void OnReserved(bool is_complete);
   void Send();
   AttemptLimits LimitsFor(const Choice& choice) const;
--- a/src/kingcupdrift/net/internal/peer_codec.cc
+++ b/src/kingcupdrift/net/internal/peer_codec.cc
@@ -4,6 +4,7 @@
 #include <variant>
 #include <vector>
 
+#include "kingcupdrift/net/internal/forwarding_codec.h"
 #include "peer_generated.h"
 
 namespace kingcupdrift {
@@ -100,35 +101,9 @@
     return {wire::Payload::DispatchNotes, table.Union()};
   }
 
-  Offset<wire::WorkNote> EncodeWorkNote(const WorkNote& note) const {
-    std::vector<Offset<flatbuffers::String>> helpers;
-    for (const EngineId& it : note.helpers) {
-      helpers.push_back(builder.CreateString(it.value()));
-    }
-    const auto attempt = builder.CreateString(note.attempt.value());
-    const auto engine = builder.CreateString(note.engine.value());
-    const auto helper_list = builder.CreateVector(helpers);
-    std::vector<std::int64_t> held;
-    for (const TokenCount it : note.held) {
-      held.push_back(it.value());
-    }
-    const auto held_list = builder.CreateVector(held);
-    return wire::CreateWorkNote(
-        builder, attempt, static_cast<wire::WorkPhase>(note.phase), engine,
-        helper_list, note.prompt.value(), note.output.value(),
-        note.pause_limit.count(), note.part_time.count(), held_list);
-  }
-
   EncodedPayload operator()(const WorkNotesMessage& message) const {
-    std::vector<Offset<wire::WorkNote>> notes;
-    for (const WorkNote& it : message.notes) {
-      notes.push_back(EncodeWorkNote(it));
-    }
-    const auto table = wire::CreateWorkNotes(
-        builder, builder.CreateVector(notes), message.is_leaving,
-        message.store_version.value(), message.has_store, message.is_complete,
-        message.wants_complete);
-    return {wire::Payload::WorkNotes, table.Union()};
+    return {wire::Payload::WorkNotes,
+            EncodeWorkNotes(builder, message).Union()};
   }
 
   EncodedPayload operator()(const StoreStateRequestMessage& message) const {
@@ -138,18 +113,8 @@
   }
 
   EncodedPayload operator()(const StoreStateReplyMessage& message) const {
-    std::vector<Offset<wire::StoreStateItem>> items;
-    for (const StoreStateItem& it : message.items) {
-      const auto key = builder.CreateString(it.key);
-      const std::string value = it.value.value_or(std::string());
-      const auto bytes = builder.CreateVector(
-          reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
-      items.push_back(wire::CreateStoreStateItem(
-          builder, key, it.version.value(), bytes, it.value.has_value()));
-    }
-    const auto reply = wire::CreateStoreStateReply(
-        builder, message.version.value(), builder.CreateVector(items));
-    return {wire::Payload::StoreStateReply, reply.Union()};
+    return {wire::Payload::StoreStateReply,
+            EncodeStoreState(builder, message).Union()};
   }
 };
 
@@ -269,79 +234,6 @@
   return message;
 }
 
-Result<WorkNote> DecodeWorkNote(const wire::WorkNote& note) {
-  if (note.phase() > wire::WorkPhase::MAX || note.prompt() < 0 ||
-      note.output() < 0 || note.part_time_us() < 0 ||
-      !IsWithin(note.helpers(), kMaxPeerNotes)) {
-    return BadFrame("a work note is not valid");
-  }
-  WorkNote out;
-  out.attempt = AttemptId(note.attempt()->str());
-  out.phase = static_cast<WorkPhase>(note.phase());
-  out.engine = EngineId(Text(note.engine()));
-  if (note.helpers() != nullptr) {
-    for (const flatbuffers::String* const it : *note.helpers()) {
-      out.helpers.emplace_back(it->str());
-    }
-  }
-  const std::size_t held = note.held() == nullptr ? 0 : note.held()->size();
-  if (held != 0 && held != out.helpers.size()) {
-    return BadFrame("a work note is not valid");
-  }
-  for (std::size_t i = 0; i < held; ++i) {
-    out.held.emplace_back(note.held()->Get(static_cast<unsigned>(i)));
-  }
-  out.prompt = TokenCount(note.prompt());
-  out.output = TokenCount(note.output());
-  out.pause_limit = Duration(note.pause_limit_us());
-  out.part_time = Duration(note.part_time_us());
-  return out;
-}
-
-Result<PeerPayload> DecodeWorkNotes(const wire::WorkNotes& table) {
-  if (!IsWithin(table.notes(), kMaxPeerNotes)) {
-    return BadFrame("a list in the frame is too long");
-  }
-  WorkNotesMessage message;
-  message.is_leaving = table.is_leaving();
-  message.store_version = StoreVersion(table.store_version());
-  message.has_store = table.has_store();
-  message.is_complete = table.is_complete();
-  message.wants_complete = table.wants_complete();
-  if (table.notes() == nullptr) {
-    return message;
-  }
-  for (const wire::WorkNote* const it : *table.notes()) {
-    Result<WorkNote> note = DecodeWorkNote(*it);
-    if (!note) {
-      return tl::unexpected(note.error());
-    }
-    message.notes.push_back(*std::move(note));
-  }
-  return message;
-}
-
-Result<PeerPayload> DecodeStoreState(const wire::StoreStateReply& reply) {
-  if (!IsWithin(reply.items(), kMaxPeerStoreItems)) {
-    return BadFrame("a list in the frame is too long");
-  }
-  StoreStateReplyMessage message;
-  message.version = StoreVersion(reply.version());
-  if (reply.items() == nullptr) {
-    return message;
-  }
-  for (const wire::StoreStateItem* const it : *reply.items()) {
-    StoreStateItem item;
-    item.key = it->key()->str();
-    item.version = StoreVersion(it->version());
-    if (it->has_value() && it->value() != nullptr) {
-      item.value = std::string(it->value()->begin(), it->value()->end());
-    }
-    message.items.push_back(std::move(item));
-  }
-  return message;
-}
-
 Result<PeerPayload> DecodePayload(const wire::Frame& frame) {
   switch (frame.payload_type()) {
     case wire::Payload::Gossip:
--- /dev/null
+++ b/tests/forwarding/entry_board_test.cc
@@ -0,0 +1,202 @@
+#include "kingcupdrift/forwarding/entry_board.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "tests/fakes/manual_clock.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Delivers messages between boards after 1 ms, unless they are cut.
+class Wire {
+ public:
+  explicit Wire(Clock& clock) : deferred_(clock) {}
+
+  class Link : public PeerLink {
+   public:
+    Link(Wire& wire, Endpoint own) : wire_(wire), own_(std::move(own)) {}
+    void Send(const Endpoint& peer, const PeerMessage& message) override {
+      wire_.Deliver(own_, peer, message);
+    }
+    void SetReceiver(Receiver receiver) override {
+      wire_.receivers_[own_] = std::move(receiver);
+    }
+
+   private:
+    Wire& wire_;
+    Endpoint own_;
+  };
+
+  void Deliver(const Endpoint& from,
+               const Endpoint& to,
+               const PeerMessage& message) {
+    if (cut.contains(from) || cut.contains(to)) {
+      return;
+    }
+    deferred_.Run([this, to, message] {
+      if (const auto it = receivers_.find(to); it != receivers_.end()) {
+        it->second(message);
+      }
+    });
+  }
+
+  std::set<Endpoint> cut;
+
+ private:
+  kingcupdrift::DeferredCalls deferred_;
+  std::map<Endpoint, PeerLink::Receiver> receivers_;
+};
+
+Endpoint PeerEndpoint(int number) {
+  return {"10.0.0." + std::to_string(number), 7000};
+}
+
+EntryRecord Record(int number) {
+  return {InstanceId("entry-" + std::to_string(number)),
+          PeerEndpoint(number),
+          {"10.0.0." + std::to_string(number), 8000},
+          FailureDomain("a")};
+}
+
+/// One entry's board and what it heard.
+struct Member : EntryBoardObserver {
+  Member(Wire& wire, Clock& clock, int number)
+      : link(wire, PeerEndpoint(number)),
+        board(clock, link, Record(number), *this) {}
+
+  void OnWork(const InstanceId& owner, const WorkNote& note) override {
+    heard.emplace_back(owner, note);
+  }
+  std::vector<WorkNote> OwnWork() const override { return own_work; }
+  void OnEntryLost(const InstanceId& entry) override { lost.push_back(entry); }
+  OwnState CurrentState() const override { return state; }
+  StoreStateReplyMessage StateAfter(StoreVersion) const override {
+    StoreStateReplyMessage reply;
+    reply.version = state.store_version;
+    return reply;
+  }
+  void OnState(const StoreStateReplyMessage& reply) override {
+    state.store_version = reply.version;
+  }
+
+  void Knows(int number, std::int64_t version = 1) {
+    board.Update(
+        "key-" + std::to_string(number) + "-" + std::to_string(version),
+        Record(number), StoreVersion(version));
+  }
+
+  std::vector<std::pair<InstanceId, WorkNote>> heard;
+  std::vector<InstanceId> lost;
+  std::vector<WorkNote> own_work;
+  OwnState state{StoreVersion(10), true, false};
+  Wire::Link link;
+  EntryBoard board;
+};
+
+struct BoardHarness {
+  BoardHarness() {
+    one.Knows(2);
+    two.Knows(1);
+    one.board.Start();
+    two.board.Start();
+    clock.Advance(milliseconds(50));
+  }
+
+  ManualClock clock;
+  Wire wire{clock};
+  Member one{wire, clock, 1};
+  Member two{wire, clock, 2};
+};
+
+WorkNote Note(const std::string& attempt) {
+  WorkNote note;
+  note.attempt = AttemptId(attempt);
+  note.engine = EngineId("engine");
+  return note;
+}
+
+TEST_CASE("an entry hears of another's work within milliseconds") {
+  BoardHarness harness;
+  harness.one.board.Announce(Note("a"));
+  harness.clock.Advance(milliseconds(5));
+  REQUIRE(harness.two.heard.size() == 1);
+  CHECK(harness.two.heard[0].first == InstanceId("entry-1"));
+}
+
+TEST_CASE("an entry that starts gets the work under way at the others") {
+  BoardHarness harness;
+  harness.one.own_work = {Note("a"), Note("b")};
+  Member three(harness.wire, harness.clock, 3);
+  three.Knows(1);
+  three.board.Start();
+  // It is heard only once the other one has seen its record.
+  harness.clock.Advance(milliseconds(300));
+  CHECK(three.heard.empty());
+  harness.one.Knows(3);
+  harness.clock.Advance(milliseconds(500));
+  CHECK(three.heard.size() == 2);
+}
+
+TEST_CASE("a silent entry is given up and asked anew once it is back") {
+  BoardHarness harness;
+  harness.one.lost.clear();
+  harness.wire.cut.insert(PeerEndpoint(2));
+  harness.clock.Advance(EntryBoard::kSilenceLimit + milliseconds(500));
+  CHECK(harness.one.lost.size() == 1);
+  // Cut off from all, an entry still names the others: it may be the one.
+  CHECK(harness.one.board.CallerEndpoints().size() == 2);
+  harness.two.own_work = {Note("a")};
+  harness.wire.cut.clear();
+  harness.clock.Advance(milliseconds(900));
+  CHECK(harness.one.heard.size() == 1);
+}
+
+TEST_CASE("callers are not sent to an entry that leaves") {
+  BoardHarness harness;
+  CHECK(harness.one.board.CallerEndpoints().size() == 2);
+  harness.two.state.is_leaving = true;
+  harness.two.board.AnnounceState();
+  harness.clock.Advance(milliseconds(5));
+  const std::vector<Endpoint> endpoints = harness.one.board.CallerEndpoints();
+  CHECK(endpoints == std::vector<Endpoint>{{"10.0.0.1", 8000}});
+}
+
+TEST_CASE("of two entries at one address only the newer counts") {
+  BoardHarness harness;
+  EntryRecord restarted = Record(2);
+  restarted.id = InstanceId("entry-2-again");
+  harness.one.board.Update("new", restarted, StoreVersion(5));
+  CHECK(harness.one.board.EntryCount() == 2);
+  CHECK(harness.one.lost.back() == InstanceId("entry-2"));
+  // The old record may come again with a listing.
+  harness.one.Knows(2, 1);
+  CHECK(harness.one.board.EntryCount() == 2);
+}
+
+TEST_CASE("an entry behind the store asks one that is ahead") {
+  BoardHarness harness;
+  harness.two.state.store_version = StoreVersion(20);
+  harness.clock.Advance(milliseconds(500));
+  CHECK(harness.one.state.store_version == StoreVersion(10));
+  harness.clock.Advance(EntryBoard::kMaxLag + 2 * EntryBoard::kStateInterval);
+  CHECK(harness.one.state.store_version == StoreVersion(20));
+}
+
+TEST_CASE("a record survives its encoding, and other text is none") {
+  const auto record = DecodeEntryRecord(EncodeEntryRecord(Record(3)));
+  REQUIRE(record);
+  CHECK(record->id == InstanceId("entry-3"));
+  CHECK(record->peer_endpoint == PeerEndpoint(3));
+  CHECK_FALSE(DecodeEntryRecord("{\"instance\":\"x\"}"));
+  CHECK_FALSE(DecodeEntryRecord("nonsense"));
+}
+
+}  // namespace
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/platform/settings_test.cc
@@ -0,0 +1,65 @@
+#include "platform/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace kingcupdrift::platform {
+namespace {
+
+using nlohmann::json;
+
+json Document() {
+  return {{"node_name", "front-1"},
+          {"zone", "a"},
+          {"ip_address", "10.0.0.1"},
+          {"a_new_field", 7},
+          {"listen_addresses",
+           {{"frontend", "10.0.0.1:8001"},
+            {"ready", "10.0.0.1:8002"},
+            {"directory", "10.0.0.1:8003"}}},
+          {"internal_port_range", {7000, 7015}},
+          {"bounds",
+           {{"grace_period_s", 8},
+            {"ttl_max_s", 5},
+            {"retry_budget_ratio", 0.2},
+            {"budget_window_s", 10},
+            {"budget_extra_retries", 104}}},
+          {"platform", {{"address", "10.0.0.9:8200"}}}};
+}
+
+TEST_CASE("settings are read, and unknown fields ignored") {
+  const Result<Settings> settings = ParseSettings(Document().dump());
+  REQUIRE(settings);
+  CHECK(settings->node == "front-1");
+  CHECK(settings->caller_endpoint == Endpoint{"10.0.0.1", 8001});
+  CHECK(settings->peer_endpoint == Endpoint{"10.0.0.1", 7000});
+  CHECK(settings->address_endpoint == Endpoint{"10.0.0.1", 8003});
+  CHECK(settings->stop_limit == std::chrono::seconds(8));
+  CHECK(settings->extra_further_sends == 104);
+}
+
+TEST_CASE("a missing or malformed field is an error that names it") {
+  const auto fault = [](const char* pointer, const json& value) {
+    json document = Document();
+    document[json::json_pointer(pointer)] = value;
+    const Result<Settings> settings = ParseSettings(document.dump());
+    return settings ? std::string() : settings.error().detail;
+  };
+  CHECK(fault("/node_name", nullptr).find("node_name") != std::string::npos);
+  CHECK(fault("/platform/address", "here").find("address") !=
+        std::string::npos);
+  CHECK(fault("/bounds/grace_period_s", "8").find("grace_period_s") !=
+        std::string::npos);
+  CHECK(fault("/internal_port_range", json::array())
+            .find("internal_port_range") != std::string::npos);
+  CHECK(fault("/listen_addresses/frontend", 8001).find("frontend") !=
+        std::string::npos);
+  CHECK_FALSE(ParseSettings("{"));
+  const auto missing = ReadSettings("no/such/file");
+  REQUIRE_FALSE(missing);
+  CHECK(missing.error().detail.find("no/such/file") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace kingcupdrift::platform
--- /dev/null
+++ b/tests/platform/state_decoder_test.cc
@@ -0,0 +1,132 @@
+#include "platform/internal/state_decoder.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace kingcupdrift::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+const PlatformStateDecoder kDecoder;
+
+json Route() {
+  return {{"name", "r"},
+          {"host", "example"},
+          {"prefix", "/p/"},
+          {"kind", "streaming"},
+          {"timeout_ms", 10'000},
+          {"target_latency_ms", 300},
+          {"target_gap_ms", 250},
+          {"traffic_split",
+           {{{"service", "s"}, {"weight", 90}},
+            {{"service", "t"}, {"weight", 10}}}},
+          {"max_attempts", 2},
+          {"resume_streams", true}};
+}
+
+json Engine() {
+  return {{"slots", 16},
+          {"kv_cache_tokens", 315'000},
+          {"stride", 51},
+          {"step_ms", 0.85},
+          {"per_seq_ms", 0.004},
+          {"context_per_k", 0.002},
+          {"read_per_s", 177'000.0},
+          {"pairs_per_m", 0.2}};
+}
+
+json Config() {
+  return {
+      {"version", 7},
+      {"routes", {Route()}},
+      {"services", {{{"name", "s"}, {"engine", Engine()}}, {{"name", "t"}}}},
+      {"limits",
+       {{"max_header_bytes", 16'384},
+        {"max_body_bytes", 4'194'304},
+        {"header_timeout_ms", 3000},
+        {"idle_timeout_ms", 15'000}}},
+      {"tenants", {{{"name", "w"}, {"api_keys", {"k1", "k2"}}}}}};
+}
+
+TEST_CASE("a configuration becomes routes, services and workspaces") {
+  const Result<ServingConfig> config = kDecoder.DecodeConfig(Config().dump());
+  REQUIRE(config);
+  CHECK(config->version == Generation(7));
+  const RouteRule& route = config->routes.at(0);
+  CHECK(route.is_streaming);
+  CHECK(route.repeat == RepeatRule::kIdempotent);
+  CHECK(route.shares.size() == 2);
+  CHECK(route.pause_limit == milliseconds(250));
+  CHECK(route.first_event_limit == milliseconds(2000));
+  const EngineTiming& timing = *config->services.at(ServiceId("s")).engine;
+  CHECK(timing.memory == TokenCount(315'000));
+  CHECK(timing.step == std::chrono::microseconds(850));
+  CHECK(timing.step_us_per_context_token == doctest::Approx(0.002));
+  CHECK(timing.read_us_per_pair == doctest::Approx(0.0002));
+  CHECK_FALSE(config->services.at(ServiceId("t")).engine);
+  CHECK(config->needs_key);
+  CHECK(config->workspace_of_key.at("k2") == WorkspaceId("w"));
+}
+
+TEST_CASE("only what is said to be repeatable may be repeated") {
+  const auto repeat_of = [](const char* kind, bool resumes) {
+    json config = Config();
+    config["routes"][0]["kind"] = kind;
+    config["routes"][0]["resume_streams"] = resumes;
+    return kDecoder.DecodeConfig(config.dump())->routes.at(0).repeat;
+  };
+  CHECK(repeat_of("safe", false) == RepeatRule::kIdempotent);
+  CHECK(repeat_of("unsafe", true) == RepeatRule::kOnce);
+  CHECK(repeat_of("streaming", false) == RepeatRule::kOnce);
+  CHECK(repeat_of("another", true) == RepeatRule::kOnce);
+}
+
+TEST_CASE("a configuration that cannot be read is an error") {
+  json config = Config();
+  config["routes"][0].erase("prefix");
+  CHECK_FALSE(kDecoder.DecodeConfig(config.dump()));
+  config = Config();
+  config["services"][0]["engine"]["read_per_s"] = 0;
+  CHECK_FALSE(kDecoder.DecodeConfig(config.dump()));
+  CHECK_FALSE(kDecoder.DecodeConfig("[]"));
+}
+
+TEST_CASE("an engine's entry names a target only if all of it can be read") {
+  const json entry = {{"service", "s"},
+                      {"address", "10.1.0.1:80"},
+                      {"zone", "a"},
+                      {"slots", 16},
+                      {"state", "ready"}};
+  const auto decode = [](const json& value) {
+    return kDecoder.DecodeTarget("servers/i-1", value.dump());
+  };
+  REQUIRE(decode(entry));
+  CHECK(decode(entry)->address.id == EngineId("i-1"));
+  CHECK_FALSE(decode(entry)->is_leaving);
+  json changed = entry;
+  changed["state"] = "draining";
+  CHECK(decode(changed)->is_leaving);
+  const json faults = {{"state", "asleep"},
+                       {"slots", "many"},
+                       {"slots", 0},
+                       {"address", "nowhere"},
+                       {"service", 4}};
+  for (const auto& [key, value] : faults.items()) {
+    changed = entry;
+    changed[key] = value;
+    CHECK_FALSE(decode(changed));
+  }
+  CHECK_FALSE(kDecoder.DecodeTarget("servers/i-1", "\xff\xfe"));
+}
+
+TEST_CASE("keys are told apart") {
+  CHECK(kDecoder.KindOf("op/config") == ItemKind::kConfig);
+  CHECK(kDecoder.KindOf("op/other") == ItemKind::kOther);
+  CHECK(kDecoder.KindOf("servers/i-1") == ItemKind::kTarget);
+}
+
+}  // namespace
+}  // namespace kingcupdrift::platform
--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,133 @@
+#include "platform/internal/store_client.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "kingcupdrift/api/json_fields.h"
+#include "tests/net/net_fixture.h"
+
+namespace kingcupdrift::platform {
+namespace {
+
+using nlohmann::json;
+
+/// Answers calls with prepared statuses and bodies, in order.
+struct StoreStandin : NetFixture {
+  StoreStandin() {
+    server = Serve([this](std::unique_ptr<HttpExchange> exchange) {
+      calls.push_back(exchange->method() + " " + exchange->target() + " " +
+                      *exchange->body());
+      if (answers.empty()) {
+        // Left without an answer.
+        held.push_back(std::move(exchange));
+        return;
+      }
+      const auto [status, body] = answers.front();
+      answers.erase(answers.begin());
+      exchange->RespondText(status, "application/json", ToJson(body));
+    });
+    store = CreateStoreClient(*client, server->endpoint());
+  }
+
+  std::vector<std::pair<int, json>> answers;
+  std::vector<std::string> calls;
+  std::vector<std::unique_ptr<HttpExchange>> held;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<PlatformStore> store;
+};
+
+json Item(const std::string& key, int revision) {
+  // "v" in base64.
+  return {{"key", key}, {"value", "dg=="}, {"revision", revision}};
+}
+
+TEST_CASE("a listing gathers its pages and has the version of the first") {
+  StoreStandin standin;
+  standin.answers = {
+      {200, {{"items", {Item("a", 3)}}, {"has_more", true}, {"at", 10}}},
+      {200, {{"items", {Item("b", 12)}}, {"has_more", false}, {"at", 12}}}};
+  std::optional<Result<StoreListing>> listing;
+  standin.store->List("", [&](auto result) { listing = std::move(result); });
+  standin.Await([&] { return listing.has_value(); });
+  REQUIRE(listing->has_value());
+  CHECK((*listing)->version == StoreVersion(10));
+  REQUIRE((*listing)->entries.size() == 2);
+  CHECK((*listing)->entries[1].value.value == "v");
+  CHECK(standin.calls[1] == "GET /api/kv-range?prefix=&after=a ");
+}
+
+TEST_CASE("a watch reports changes and deletions, and goes on behind them") {
+  StoreStandin standin;
+  standin.answers = {
+      {200,
+       {{"events",
+         {Item("a", 11), {{"key", "b"}, {"revision", 12}, {"deleted", true}}}},
+        {"at", 12}}}};
+  std::vector<StoreEvent> events;
+  const auto watch = standin.store->Watch("", StoreVersion(10),
+                                          [&](const Result<StoreEvent>& event) {
+                                            REQUIRE(event.has_value());
+                                            events.push_back(*event);
+                                          });
+  standin.Await([&] { return standin.calls.size() == 2; });
+  REQUIRE(events.size() == 3);
+  CHECK(events[0].value->value == "v");
+  CHECK_FALSE(events[1].value);
+  CHECK(events[2].key.empty());
+  CHECK(standin.calls[1].find("after=12") != std::string::npos);
+}
+
+TEST_CASE("a watch whose history is gone ends as not found") {
+  StoreStandin standin;
+  standin.answers = {{410, json::object()}};
+  std::optional<ErrorCode> code;
+  const auto watch = standin.store->Watch(
+      "", StoreVersion(10),
+      [&](const Result<StoreEvent>& event) { code = event.error().code; });
+  standin.Await([&] { return code.has_value(); });
+  CHECK(*code == ErrorCode::kNotFound);
+}
+
+TEST_CASE("a write's answer tells what took effect") {
+  StoreStandin standin;
+  const auto write = [&](int status, const json& body) {
+    standin.answers = {{status, body}};
+    std::optional<Result<StoreVersion>> written;
+    standin.store->CompareAndSwap("k", StoreVersion(4), "v", LeaseId(7),
+                                  [&](auto result) { written = result; });
+    standin.Await([&] { return written.has_value(); });
+    return *written;
+  };
+  CHECK(write(200, {{"revision", 5}}) == StoreVersion(5));
+  CHECK(standin.calls[0] ==
+        "POST /api/kv-txn "
+        "{\"precondition\":[{\"key\":\"k\",\"revision\":4}],\"remove\":[],"
+        "\"writes\":[{\"key\":\"k\",\"lease\":7,\"value\":\"dg==\"}]}");
+  CHECK(write(412, json::object()).error().code == ErrorCode::kConflict);
+  CHECK(write(404, json::object()).error().code == ErrorCode::kNotFound);
+  CHECK(write(503, json::object()).error().code == ErrorCode::kUnavailable);
+  CHECK(write(429, json::object()).error().code == ErrorCode::kUnavailable);
+  CHECK(write(500, json::object()).error().code == ErrorCode::kUnknownEffect);
+  CHECK(write(200, json::object()).error().code == ErrorCode::kUnknownEffect);
+}
+
+TEST_CASE("a lease is granted, renewed and found to have ended") {
+  StoreStandin standin;
+  standin.answers = {{200, {{"lease", 7}, {"ttl_ms", 5000}}},
+                     {404, json::object()}};
+  std::optional<Result<LeaseId>> lease;
+  standin.store->GrantLease(std::chrono::seconds(5),
+                            [&](auto result) { lease = result; });
+  standin.Await([&] { return lease.has_value(); });
+  CHECK(*lease == LeaseId(7));
+  std::optional<Result<void>> kept;
+  standin.store->KeepAlive(LeaseId(7), [&](auto result) { kept = result; });
+  standin.Await([&] { return kept.has_value(); });
+  CHECK(kept->error().code == ErrorCode::kNotFound);
+  CHECK(standin.calls[1] == "POST /api/kv-keep/7 {}");
+}
+
+}  // namespace
+}  // namespace kingcupdrift::platform
--- /dev/null
+++ b/tests/platform/wire_headers_test.cc
@@ -0,0 +1,149 @@
+#include "platform/internal/wire_headers.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace kingcupdrift::platform {
+namespace {
+
+/// An exchange that only holds a request.
+class StillExchange : public HttpExchange {
+ public:
+  explicit StillExchange(HeaderList headers) : headers_(std::move(headers)) {}
+  const std::string& method() const override { return method_; }
+  const std::string& target() const override { return target_; }
+  const HeaderList& headers() const override { return headers_; }
+  const SharedBytes& body() const override { return body_; }
+  void Respond(int, const HeaderList&, SharedBytes) override {}
+  void StartChunked(int, const HeaderList&) override {}
+  void WriteChunk(std::string_view) override {}
+  void EndChunked() override {}
+  bool IsClosed() const override { return false; }
+  ByteCount Unsent() const override { return ByteCount(0); }
+  void OnClosed(std::function<void()>) override {}
+  void OnDrained(std::function<void()>) override {}
+
+ private:
+  std::string method_ = "POST";
+  std::string target_ = "/p/x?y=1";
+  HeaderList headers_;
+  SharedBytes body_ = std::make_shared<const std::string>("body");
+};
+
+std::string Value(const HeaderList& headers, const std::string& name) {
+  const auto it =
+      std::find_if(headers.begin(), headers.end(),
+                   [&](const auto& header) { return header.first == name; });
+  return it == headers.end() ? std::string() : it->second;
+}
+
+ForwardCall Decode(const HeaderList& headers) {
+  return DecodeCall(StillExchange(headers));
+}
+
+TEST_CASE("a prompt's request is decoded, and its key is not passed on") {
+  const ForwardCall call = Decode({{"host", "example:80"},
+                                   {"Request-Id", "9c41"},
+                                   {"Token-Counts", "1460,80"},
+                                   {"Length-Hint", "40"},
+                                   {"Deadline-Milliseconds", "900"},
+                                   {"Last-Event-Id", "12"},
+                                   {"Tenant", "forged"},
+                                   {"Connection", "X-Hop"},
+                                   {"X-Hop", "1"},
+                                   {"Prompt-Prefix", "5c:8"},
+                                   {"Authorization", "Bearer secret"}});
+  CHECK(call.id == RequestId("9c41"));
+  CHECK(call.host == "example");
+  CHECK(call.key == "secret");
+  CHECK(call.prompt->prompt == TokenCount(1460));
+  CHECK(call.prompt->max_output == TokenCount(80));
+  CHECK(call.prompt->expected_output == TokenCount(40));
+  CHECK(call.time_limit == std::chrono::milliseconds(900));
+  CHECK(call.last_event == 12);
+  CHECK(Value(call.headers, "Host") == "example:80");
+  CHECK(Value(call.headers, "Prompt-Prefix") == "5c:8");
+  CHECK(Value(call.headers, "Request-Id") == "9c41");
+  for (const char* name : {"Authorization", "Tenant", "X-Hop", "Connection"}) {
+    CHECK(Value(call.headers, name).empty());
+  }
+}
+
+TEST_CASE("headers that cannot be read leave the request without their value") {
+  const ForwardCall call = Decode({{"Host", "h"},
+                                   {"Token-Counts", "many"},
+                                   {"Deadline-Milliseconds", "-1"},
+                                   {"Authorization", "Basic x"}});
+  CHECK_FALSE(call.prompt);
+  CHECK_FALSE(call.time_limit);
+  CHECK(call.key.empty());
+}
+
+TEST_CASE(
+    "requests that two readers could understand differently are refused") {
+  const auto is_refused = [](HeaderList headers) {
+    headers.emplace_back("Host", "h");
+    return FindAmbiguity(headers) != nullptr;
+  };
+  CHECK_FALSE(is_refused({{"Content-Length", "4"}}));
+  CHECK_FALSE(is_refused({{"Transfer-Encoding", "chunked"}}));
+  CHECK(is_refused({{"Content-Length", "4"}, {"content-length", "5"}}));
+  CHECK(
+      is_refused({{"Content-Length", "4"}, {"Transfer-Encoding", "chunked"}}));
+  CHECK(is_refused({{"Content-Length", "+4"}}));
+  CHECK(is_refused({{"Transfer-Encoding", "gzip, chunked"}}));
+  CHECK(is_refused({{"Host", "other"}}));
+  CHECK(is_refused({{"Request-Id", "a"}, {"Request-Id", "b"}}));
+  CHECK(FindAmbiguity({}) != nullptr);
+}
+
+TEST_CASE("a send names its engine, workspace, helpers and the time left") {
+  ForwardCall call;
+  call.headers = {{"Host", "h"}};
+  TargetRequest request;
+  request.call = &call;
+  request.workspace = WorkspaceId("w");
+  request.time_left = std::chrono::microseconds(1'234'567);
+  request.last_event = 3;
+  request.helpers = {
+      {{EngineId("e"), {"10.0.0.1", 80}}, TokenCount(5), ReservationId("t1")},
+      {{EngineId("f"), {"10.0.0.2", 80}}, TokenCount(), ReservationId()}};
+  const HeaderList headers =
+      EncodeTargetHeaders({EngineId("i-1"), {"10.0.0.3", 80}}, request);
+  CHECK(Value(headers, "Deadline-Milliseconds") == "1234");
+  CHECK(Value(headers, "Expected-Instance") == "i-1");
+  CHECK(Value(headers, "Tenant") == "w");
+  CHECK(Value(headers, "Last-Event-Id") == "3");
+  CHECK(Value(headers, "Helpers") == "10.0.0.1:80/t1,10.0.0.2:80");
+}
+
+TEST_CASE("an answer says whose it is, and whether the request has run") {
+  const TargetAnswer answer = DecodeAnswer(503, {{"Request-Id", "9c41"},
+                                                 {"Not-Executed", "1"},
+                                                 {"At-Server", "10.0.0.1:80"},
+                                                 {"Keep-Alive", "timeout=5"},
+                                                 {"Server-Stamp", "s"}});
+  CHECK(answer.request == RequestId("9c41"));
+  CHECK(answer.is_not_run);
+  CHECK(answer.at_fault == Endpoint{"10.0.0.1", 80});
+  CHECK(Value(answer.headers, "Server-Stamp") == "s");
+  CHECK(Value(answer.headers, "Keep-Alive").empty());
+  CHECK(DecodeAnswer(421, {}).is_not_run);
+  CHECK_FALSE(DecodeAnswer(503, {}).is_not_run);
+}
+
+TEST_CASE("only refusals that promise that nothing ran have status 503") {
+  for (const auto type :
+       {ForwardRefusalType::kNotReady, ForwardRefusalType::kLeaving,
+        ForwardRefusalType::kBadRequest, ForwardRefusalType::kUnknownKey,
+        ForwardRefusalType::kNoRoute, ForwardRefusalType::kOverloaded,
+        ForwardRefusalType::kNoTarget, ForwardRefusalType::kTimeLimitNotSent,
+        ForwardRefusalType::kTimeLimitSent, ForwardRefusalType::kTargetFailed,
+        ForwardRefusalType::kTargetDeclined}) {
+    CHECK((StatusOf(type) == 503) == IsNotRunPromise(type));
+  }
+}
+
+}  // namespace
+}  // namespace kingcupdrift::platform
