--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -68,6 +68,11 @@
     context_.stop = {context_.clock.Now() + kCallerNotice, end};
   }
 
+  void RefuseNew() override {
+    const MonotonicTime now = context_.clock.Now();
+    context_.stop = {now, now};
+  }
+
   void OnWorkSent(WorkListener listener) override {
     context_.work_listener = std::move(listener);
   }
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -60,6 +60,8 @@
   /// The entry stops at `end`. Requests that may last longer are refused once
   /// callers have had `kCallerNotice` to go elsewhere.
   virtual void StopBy(MonotonicTime end) = 0;
+  /// From now on every new request is refused as not run.
+  virtual void RefuseNew() = 0;
   /// Callers keep an address answer for two seconds.
   static constexpr Duration kCallerNotice = std::chrono::milliseconds(2500);
 
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -70,7 +70,10 @@
     board_.AnnounceState();
   }
 
-  void Finish() override { own_key_.Stop(); }
+  void Finish() override {
+    forwarder_->RefuseNew();
+    own_key_.Stop();
+  }
 
   bool IsLeaving() const override { return is_leaving_; }
 
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -54,7 +54,8 @@
   /// come are served.
   /// It ends within `limit`.
   virtual void StartLeaving(Duration limit) = 0;
-  /// All requests have ended: takes this entry off the others' list.
+  /// All requests have ended: refuses what still comes, and takes this entry
+  /// off the others' list.
   virtual void Finish() = 0;
   virtual bool IsLeaving() const = 0;
   virtual std::size_t RequestsInProgress() const = 0;
--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "kingcupdrift/net/internal/frame_checks.h"
 #include "kingcupdrift/net/internal/peer_codec.h"
 
 namespace kingcupdrift {
@@ -12,19 +13,6 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
-tl::unexpected<Error> BadFrame(std::string detail) {
-  return MakeError(ErrorCode::kProtocol, std::move(detail));
-}
-
-std::string Text(const flatbuffers::String* text) {
-  return text == nullptr ? std::string() : text->str();
-}
-
-template <typename Vector>
-bool IsWithin(const Vector* vector, std::size_t limit) {
-  return vector == nullptr || vector->size() <= limit;
-}
-
 Offset<wire::WorkNote> EncodeWorkNote(FlatBufferBuilder& builder,
                                       const WorkNote& note) {
   std::vector<Offset<flatbuffers::String>> helpers;
--- /dev/null
+++ b/src/kingcupdrift/net/internal/frame_checks.h
@@ -0,0 +1,32 @@
+#ifndef KINGCUPDRIFT_NET_INTERNAL_FRAME_CHECKS_H_
+#define KINGCUPDRIFT_NET_INTERNAL_FRAME_CHECKS_H_
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <cstddef>
+#include <string>
+#include <utility>
+
+#include "kingcupdrift/base/base.h"
+
+namespace kingcupdrift {
+
+/// The error of a frame that breaks the protocol between entries.
+inline tl::unexpected<Error> BadFrame(std::string detail) {
+  return MakeError(ErrorCode::kProtocol, std::move(detail));
+}
+
+/// An optional text; empty if it is absent.
+inline std::string Text(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+/// Whether an optional list is absent or has at most `limit` elements.
+template <typename Vector>
+bool IsWithin(const Vector* vector, std::size_t limit) {
+  return vector == nullptr || vector->size() <= limit;
+}
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_INTERNAL_FRAME_CHECKS_H_
--- a/src/kingcupdrift/net/internal/peer_codec.cc
+++ b/src/kingcupdrift/net/internal/peer_codec.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "kingcupdrift/net/internal/forwarding_codec.h"
+#include "kingcupdrift/net/internal/frame_checks.h"
 #include "peer_generated.h"
 
 namespace kingcupdrift {
@@ -130,19 +131,6 @@
           builder.GetSize()};
 }
 
-tl::unexpected<Error> BadFrame(std::string detail) {
-  return MakeError(ErrorCode::kProtocol, std::move(detail));
-}
-
-std::string Text(const flatbuffers::String* text) {
-  return text == nullptr ? std::string() : text->str();
-}
-
-template <typename Vector>
-bool IsWithin(const Vector* vector, std::size_t limit) {
-  return vector == nullptr || vector->size() <= limit;
-}
-
 // An instance that does not take callers yet may have no address for them.
 Result<Endpoint> DecodeEndpoint(const flatbuffers::String* text) {
   if (text->str() == ToString(Endpoint())) {
--- a/tests/forwarding/forwarder_test.cc
+++ b/tests/forwarding/forwarder_test.cc
@@ -195,6 +195,20 @@
   CHECK_FALSE(harness.Handle(quick)->IsOver());
 }
 
+TEST_CASE("an entry at the end of its stop takes no request, however quick") {
+  ForwardingHarness harness;
+  harness.AddPlainTargets(1);
+  harness.forwarder->StopBy(harness.clock.Now() + milliseconds(7500));
+  harness.clock.Advance(milliseconds(3000));
+  harness.forwarder->RefuseNew();
+  ForwardCall quick = ForwardingHarness::Call("/once/x");
+  quick.time_limit = milliseconds(600);
+  const auto caller = harness.Handle(quick);
+  REQUIRE(caller->refusal);
+  CHECK(IsNotRunPromise(caller->refusal->type));
+  CHECK(harness.targets.sends.empty());
+}
+
 TEST_CASE("a prompt larger than one engine's memory reserves the rest first") {
   ForwardingHarness harness;
   harness.AddEngines(17);
