--- a/src/kingcupdrift/store/leased_key.cc
+++ b/src/kingcupdrift/store/leased_key.cc
@@ -64,20 +64,21 @@
 
 void LeasedKey::Write(LeaseId lease) {
   const std::string key = prefix_ + random_.Token();
-  store_.CompareAndSwap(
-      key, StoreVersion(), value_, lease,
-      Guard<Result<StoreVersion>>([this, lease](Result<StoreVersion> written) {
-        lease_ = lease;
-        if (is_stopped_) {
-          Stop();
-          return;
-        }
-        if (!written) {
-          RetryLater();
-          return;
-        }
-        timer_ = clock_.RunAfter(kRenewal, [this] { Renew(); });
-      }));
+  store_.CompareAndSwap(key, StoreVersion(), value_, lease,
+                        Guard<Result<StoreVersion>>(
+                            [this, lease](const Result<StoreVersion>& written) {
+                              lease_ = lease;
+                              if (is_stopped_) {
+                                Stop();
+                                return;
+                              }
+                              if (!written) {
+                                RetryLater();
+                                return;
+                              }
+                              timer_ = clock_.RunAfter(kRenewal,
+                                                       [this] { Renew(); });
+                            }));
 }
 
 void LeasedKey::Renew() {
--- a/tests/routing/prompt_placer_test.cc
+++ b/tests/routing/prompt_placer_test.cc
@@ -34,6 +34,7 @@
 
 std::vector<EngineView> Idle(int count) {
   std::vector<EngineView> views;
+  views.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     views.push_back({EngineId(std::to_string(i)), EngineWork()});
   }
@@ -43,7 +44,7 @@
 EngineWork Streams(int count, Duration pause) {
   EngineWork work;
   work.streams = count;
-  work.context = TokenCount(count * 6600);
+  work.context = TokenCount(std::int64_t{6600} * count);
   work.pause_limit = pause;
   return work;
 }
