--- a/tests/forwarding/forwarder_test.cc
+++ b/tests/forwarding/forwarder_test.cc
@@ -229,13 +229,14 @@
   CHECK(harness.targets.reservations.empty());
 }
 
-TEST_CASE("a helper that an engine blames does not help the next time") {
+TEST_CASE("a helper that an engine blames takes no part the next time") {
   ForwardingHarness harness;
   harness.AddEngines(17);
   harness.Handle(ForwardingHarness::Prompt(150'000));
   const EngineAddress blamed = harness.send(0).helpers.at(0).engine;
   harness.Decline(0, blamed.endpoint);
   REQUIRE(harness.targets.sends.size() == 2);
+  CHECK(harness.send(1).target.id != blamed.id);
   for (const PromptHelper& it : harness.send(1).helpers) {
     CHECK(it.engine.id != blamed.id);
   }
