Name the believed work of the target in the log of each send

Cause: a late first event could not be told from a wrong belief, since the line of a send named only the prediction. Changed: streams, prompts helped with and backlog that the entry believed of the target stand in it.

--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -55,6 +55,8 @@
     std::vector<PromptHelper> helpers;
     Duration part_time{0};
     Duration predicted_first{0};
+    /// What this entry believed to run at the target.
+    EngineWork belief;
   };
   enum class Placed { kYes, kWait, kNever };
 
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -112,6 +112,7 @@
   }
   choice.part_time = placement->part_time;
   choice.predicted_first = placement->first_event;
+  choice.belief = views[placement->engine].work;
   return Placed::kYes;
 }
 
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -81,6 +81,9 @@
       .Number("send", sends_)
       .Milliseconds("waited", context_.clock.Now() - arrival_)
       .Milliseconds("predicted", choice.predicted_first)
+      .Number("streams", choice.belief.streams)
+      .Number("helping", choice.belief.helping)
+      .Milliseconds("backlog", choice.belief.backlog)
       .Milliseconds("left", request.time_left)
       .Number("config", table_->config().version.value());
   attempt_ = std::make_unique<ForwardAttempt>(
