Let short prompts wait rather than queue behind a giant's part

All entries were woken by the same news of room and sent to the same engine: 25 short prompts within 10 ms.

A short prompt now waits while queueing would take longer than it has waited, and only the entry that made room is woken at once; the others try at drawn intervals. The case in prompt_placer_test failed first.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -79,9 +79,6 @@
 
   void ApplyPeerWork(const InstanceId& owner, const WorkNote& note) override {
     context_.book.Apply(owner, note);
-    if (note.phase != WorkPhase::kReading) {
-      context_.queue.Wake();
-    }
   }
 
   std::vector<WorkNote> OwnWork() const override {
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -36,7 +36,7 @@
         health(clock),
         book(clock),
         budget(clock, settings_in.budget),
-        queue(clock) {}
+        queue(clock, random) {}
 
   ForwarderSettings settings;
   Clock& clock;
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -4,6 +4,17 @@
 #include <utility>
 
 namespace kingcupdrift {
+namespace {
+
+std::string HelperNames(const std::vector<PromptHelper>& helpers) {
+  std::string names;
+  for (const PromptHelper& it : helpers) {
+    names += (names.empty() ? "" : ",") + it.engine.id.value();
+  }
+  return names;
+}
+
+}  // namespace
 
 AttemptLimits ForwardRequest::LimitsFor(const Choice& choice) const {
   AttemptLimits limits;
@@ -77,6 +88,8 @@
       .Text("service", service_.value())
       .Text("target", choice.target.id.value())
       .Number("helpers", static_cast<std::int64_t>(choice.helpers.size()))
+      .Text("with", HelperNames(choice.helpers))
+      .Milliseconds("part", choice.part_time)
       .Number("prompt", call_.prompt ? call_.prompt->prompt.value() : 0)
       .Number("send", sends_)
       .Milliseconds("waited", context_.clock.Now() - arrival_)
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -124,6 +124,9 @@
   const TokenCount needed = demand.prompt + demand.output;
   const bool is_urgent = demand.waited > demand.target_latency / 2;
   const Duration good = Scale(demand.target_latency, kGoodLatency);
+  // Slots of shared engines come free all the time, so that queueing for longer
+  // than the prompt has waited is worse than waiting on.
+  const Duration acceptable = demand.target_latency + demand.waited;
   const std::vector<bool> is_shared = ChooseShared(demand, candidates);
   SeededRandom random(demand.seed);
   std::optional<PromptPlacement> best;
@@ -137,6 +140,9 @@
     placement.engine = it.position;
     placement.part_time = work;
     placement.first_event = it.pass / 2 + it.work.backlog + work + it.pass_with;
+    if (placement.first_event > acceptable) {
+      continue;
+    }
     // Other engines are taken only once no shared one is good enough, and first
     // those where a stream of a short prompt runs anyway.
     Duration cost = placement.first_event + spread;
--- a/tests/routing/prompt_placer_test.cc
+++ b/tests/routing/prompt_placer_test.cc
@@ -82,6 +82,22 @@
   CHECK(placer.Place(Short(), engines)->engine == 1);
 }
 
+TEST_CASE("a short prompt waits rather than queue behind a giant's part") {
+  const PromptPlacer placer(Timing());
+  std::vector<EngineView> engines = Idle(3);
+  // Two shared engines are full; only the giant's reader has a slot.
+  engines[0].work = Streams(16, milliseconds(250));
+  engines[1].work = Streams(16, milliseconds(250));
+  engines[2].work.backlog = milliseconds(3600);
+  PromptDemand demand = Short();
+  CHECK_FALSE(placer.Place(demand, engines));
+  demand.waited = milliseconds(400);
+  CHECK_FALSE(placer.Place(demand, engines));
+  // Streams end all the time: a slot at a shared engine comes first.
+  engines[1].work = Streams(15, milliseconds(250));
+  CHECK(placer.Place(demand, engines)->engine == 1);
+}
+
 TEST_CASE("a long prompt is read by many engines at once") {
   const PromptPlacer placer(Timing());
   const auto placement = placer.Place(Long(), Idle(23));
