--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -117,30 +117,33 @@
   return is_shared;
 }
 
+bool PromptPlacer::HasSlack(const Candidate& candidate, Duration work) const {
+  return candidate.Bears(work) && candidate.work.backlog <= kSlackBacklog &&
+         candidate.work.streams < kSlackFill * timing_.slots;
+}
+
 std::optional<PromptPlacement> PromptPlacer::PlaceWhole(
     const PromptDemand& demand,
     Duration work,
     const std::vector<Candidate>& candidates) const {
   const TokenCount needed = demand.prompt + demand.output;
-  const bool is_urgent = demand.waited > demand.target_latency / 2;
   const Duration good = Scale(demand.target_latency, kGoodLatency);
-  // Slots of shared engines come free all the time, so that queueing for longer
-  // than the prompt has waited is worse than waiting on.
-  const Duration acceptable = demand.target_latency + demand.waited;
   const std::vector<bool> is_shared = ChooseShared(demand, candidates);
   SeededRandom random(demand.seed);
   std::optional<PromptPlacement> best;
   Duration best_cost{0};
   for (const Candidate& it : candidates) {
     const Duration spread = Scale(kSpread, random.Unit());
-    if (!it.has_slot || it.free < needed || (!is_urgent && !it.Bears(work))) {
+    if (!it.has_slot || it.free < needed) {
       continue;
     }
     PromptPlacement placement;
     placement.engine = it.position;
     placement.part_time = work;
     placement.first_event = it.pass / 2 + it.work.backlog + work + it.pass_with;
-    if (placement.first_event > acceptable) {
+    const bool is_late =
+        demand.waited + placement.first_event > demand.target_latency;
+    if (is_late ? !HasSlack(it, work) : !it.Bears(work)) {
       continue;
     }
     // Other engines are taken only once no shared one is good enough, and first
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -77,6 +77,11 @@
   /// Part of the slots that short prompts fill at the engines they share. Each
   /// further stream lengthens the passes that all others wait for.
   static constexpr double kSharedFill = 0.5;
+  /// A prompt that comes late in any case takes only what prompts that can still
+  /// be on time leave: engines below this part of their slots, with no longer
+  /// backlog than this.
+  static constexpr double kSlackFill = 0.9;
+  static constexpr Duration kSlackBacklog = std::chrono::milliseconds(50);
   /// Random part of an engine's cost, so that entries which know the same do
   /// not all choose the same engine: about one short prompt's reading.
   static constexpr Duration kSpread = std::chrono::milliseconds(25);
@@ -108,6 +113,7 @@
       const PromptDemand& demand,
       Duration work,
       const std::vector<Candidate>& candidates) const;
+  bool HasSlack(const Candidate& candidate, Duration work) const;
   std::vector<bool> ChooseShared(
       const PromptDemand& demand,
       const std::vector<Candidate>& candidates) const;
