--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -229,6 +229,8 @@
     }
     const Duration cost =
         StartOf(*it) + it->pass_with +
+        (it->work.streams == 0 || it->is_stricter ? kOpenCost
+                                                  : Duration::zero()) +
         (is_short_of_memory ? kReserveCost : Duration::zero());
     if (first == nullptr || cost < first_cost) {
       first = it;
