--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -229,9 +229,8 @@
     }
     const Duration cost =
         StartOf(*it) + it->pass_with +
-        (it->work.streams == 0 || it->is_stricter ? kOpenCost
-                                                  : Duration::zero()) +
-        (is_short_of_memory ? kReserveCost : Duration::zero());
+        (is_short_of_memory ? kReserveTime + kReservePenalty
+                            : Duration::zero());
     if (first == nullptr || cost < first_cost) {
       first = it;
       first_cost = cost;
@@ -258,7 +257,7 @@
   }
   placement.first_event = first->pass / 2 + start + part + first->pass_with;
   if (first->free < needed) {
-    placement.first_event += kReserveCost;
+    placement.first_event += kReserveTime;
     if (!DivideMemory(needed - first->free, candidates, placement)) {
       return std::nullopt;
     }
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -93,10 +93,11 @@
   static constexpr double kPlannedMemory = 0.98;
   /// What a reservation adds to the time to the first event: a call to each
   /// holder before the prompt is sent.
-  static constexpr Duration kReserveCost = std::chrono::milliseconds(500);
-  /// A stream alone on an engine costs that engine's reading this much: its
-  /// steps take the time that others would be read in.
-  static constexpr Duration kOpenCost = std::chrono::milliseconds(0);
+  static constexpr Duration kReserveTime = std::chrono::milliseconds(40);
+  /// An engine with memory for the whole prompt is preferred by this much more:
+  /// reservations fail where entries choose the same holders, and lengthen the
+  /// steps of the holders' own streams.
+  static constexpr Duration kReservePenalty = std::chrono::milliseconds(460);
   /// Part of a stream's pause limit that is planned for. The rest covers what
   /// the entries do not know of each other yet.
   static constexpr double kPlannedPause = 0.8;
