Check engines under suspicion, and send prompts again when a reader is down

Cause: when 4 of 23 engines crash, every prompt that they help to read stalls for 1.5 s at its first engine, is refused naming one of them, and is sent again with the other three: up to 5 sends. Each entry learned of each engine by itself.

Two checks that fail make the engine down for 1.5 s: prompts that it helps to read are sent again at once, within the budget of further sends. Logged as event=check and event=reader_down. The four cases in forwarder_test were written with it.

--- a/src/kingcupdrift/forwarding/entry_board.cc
+++ b/src/kingcupdrift/forwarding/entry_board.cc
@@ -105,6 +105,15 @@
 
 void EntryBoard::Announce(WorkNote note) {
   pending_.push_back(std::move(note));
+  FlushSoon();
+}
+
+void EntryBoard::AnnounceSuspect(const EngineId& engine) {
+  suspects_.push_back(engine);
+  FlushSoon();
+}
+
+void EntryBoard::FlushSoon() {
   if (!flush_timer_) {
     flush_timer_ = clock_.RunAfter(kBatchDelay, [this] { Flush(); });
   }
@@ -127,6 +136,7 @@
   flush_timer_.reset();
   WorkNotesMessage message = StateMessage();
   message.notes = std::exchange(pending_, {});
+  message.suspects = std::exchange(suspects_, {});
   for (const auto& [id, peer] : peers_) {
     Send(peer.record.peer_endpoint, message);
   }
@@ -195,6 +205,9 @@
   for (const WorkNote& it : message.notes) {
     observer_.OnWork(sender, it);
   }
+  for (const EngineId& it : message.suspects) {
+    observer_.OnSuspicion(it);
+  }
   peer.is_leaving = message.is_leaving;
   if (message.wants_complete) {
     SendCompleteWork(peer);
--- a/src/kingcupdrift/forwarding/entry_board.h
+++ b/src/kingcupdrift/forwarding/entry_board.h
@@ -39,6 +39,8 @@
  public:
   virtual ~EntryBoardObserver() = default;
   virtual void OnWork(const InstanceId& owner, const WorkNote& note) = 0;
+  /// Another entry suspects the engine not to answer.
+  virtual void OnSuspicion(const EngineId& engine) = 0;
   /// Own work under way.
   virtual std::vector<WorkNote> OwnWork() const = 0;
   /// The entry is gone or out of reach, or will tell its work anew.
@@ -68,6 +70,8 @@
 
   /// Tells all entries, together with what else comes within `kBatchDelay`.
   void Announce(WorkNote note);
+  /// Tells all entries that the engine may be down, as `Announce` does.
+  void AnnounceSuspect(const EngineId& engine);
   /// Tells all entries the own state now.
   void AnnounceState();
 
@@ -104,6 +108,7 @@
   void TakeNotes(const InstanceId& sender, const WorkNotesMessage& message);
   void SendCompleteWork(const Peer& peer);
   void AskIfBehind(const Peer& peer, const WorkNotesMessage& message);
+  void FlushSoon();
   void Flush();
   void Tick();
   void Send(const Endpoint& peer, PeerPayload payload);
@@ -119,6 +124,7 @@
   EntryBoardObserver& observer_;
   std::map<InstanceId, Peer> peers_;
   std::vector<WorkNote> pending_;
+  std::vector<EngineId> suspects_;
   // Since when some peer has been ahead of the own copy.
   std::optional<MonotonicTime> behind_since_;
   std::unique_ptr<Timer> flush_timer_;
--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -16,6 +16,7 @@
                 const ForwarderDependencies& dependencies)
       : context_(settings, dependencies), deferred_(dependencies.clock) {
     context_.work_listener = [](const WorkNote&) {};
+    OnEngineSuspected([](const EngineId&) {});
   }
 
   void Handle(ForwardCall call, std::unique_ptr<ForwardSink> sink) override {
@@ -50,6 +51,7 @@
         .Text("service", record.service.value())
         .Text("state", record.is_leaving ? "leaving" : "ready");
     context_.directory.Update(record);
+    context_.health.OnSuccess(record.address.id);
     context_.queue.Wake();
   }
 
@@ -77,8 +79,25 @@
     context_.work_listener = std::move(listener);
   }
 
+  void OnEngineSuspected(SuspectListener listener) override {
+    context_.checker.SetListeners(
+        [listener = std::move(listener)](const EngineAddress& engine) {
+          listener(engine.id);
+        },
+        [this](const EngineAddress& engine) { HandleDown(engine.id); });
+  }
+
+  void HearSuspicion(const EngineId& engine) override {
+    if (const TargetRecord* const it = context_.directory.Find(engine)) {
+      context_.checker.HearSuspicion(it->address);
+    }
+  }
+
   void ApplyPeerWork(const InstanceId& owner, const WorkNote& note) override {
     context_.book.Apply(owner, note);
+    if (note.phase != WorkPhase::kReading) {
+      context_.queue.Wake();
+    }
   }
 
   std::vector<WorkNote> OwnWork() const override {
@@ -114,6 +133,13 @@
   }
 
  private:
+  void HandleDown(const EngineId& engine) {
+    // Requests that end meanwhile stay in the map until a later turn.
+    for (const auto& [number, request] : requests_) {
+      request->HandleEngineDown(engine);
+    }
+  }
+
   // The request may be in the middle of a callback.
   void Retire(std::uint64_t number) {
     deferred_.Run([this, number] { requests_.erase(number); });
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -66,6 +66,11 @@
   static constexpr Duration kCallerNotice = std::chrono::milliseconds(2500);
 
   virtual void OnWorkSent(WorkListener listener) = 0;
+  /// Told which engines this entry suspects not to answer, for the others.
+  using SuspectListener = std::function<void(const EngineId&)>;
+  virtual void OnEngineSuspected(SuspectListener listener) = 0;
+  /// Another entry suspects an engine.
+  virtual void HearSuspicion(const EngineId& engine) = 0;
   virtual void ApplyPeerWork(const InstanceId& owner, const WorkNote& note) = 0;
   /// This entry's own work under way, for an entry that has just come.
   virtual std::vector<WorkNote> OwnWork() const = 0;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -38,6 +38,8 @@
                  EncodeEntryRecord(settings.own)) {
     forwarder_->OnWorkSent(
         [this](const WorkNote& note) { board_.Announce(note); });
+    forwarder_->OnEngineSuspected(
+        [this](const EngineId& engine) { board_.AnnounceSuspect(engine); });
   }
 
   void Start() override {
@@ -87,6 +89,10 @@
     forwarder_->ApplyPeerWork(owner, note);
   }
 
+  void OnSuspicion(const EngineId& engine) override {
+    forwarder_->HearSuspicion(engine);
+  }
+
   std::vector<WorkNote> OwnWork() const override {
     return forwarder_->OwnWork();
   }
--- /dev/null
+++ b/src/kingcupdrift/forwarding/internal/engine_checker.cc
@@ -0,0 +1,55 @@
+#include "kingcupdrift/forwarding/internal/engine_checker.h"
+
+#include <utility>
+
+namespace kingcupdrift {
+
+void EngineChecker::SetListeners(Listener on_suspected, Listener on_down) {
+  on_suspected_ = std::move(on_suspected);
+  on_down_ = std::move(on_down);
+}
+
+void EngineChecker::Suspect(const EngineAddress& engine) {
+  if (!in_check_.contains(engine.id) && !health_.IsDown(engine.id)) {
+    on_suspected_(engine);
+    HearSuspicion(engine);
+  }
+}
+
+void EngineChecker::HearSuspicion(const EngineAddress& engine) {
+  if (health_.IsDown(engine.id) || !in_check_.insert(engine.id).second) {
+    return;
+  }
+  Check(engine, kChecks);
+}
+
+void EngineChecker::Check(const EngineAddress& engine, int checks_left) {
+  const std::weak_ptr<bool> alive = is_alive_;
+  targets_.Check(
+      engine, kCheckLimit,
+      [this, alive, engine, checks_left](const Result<void>& answer) {
+        if (!alive.expired()) {
+          TakeAnswer(engine, checks_left, answer);
+        }
+      });
+}
+
+void EngineChecker::TakeAnswer(const EngineAddress& engine,
+                               int checks_left,
+                               const Result<void>& answer) {
+  if (!answer && checks_left > 1) {
+    Check(engine, checks_left - 1);
+    return;
+  }
+  in_check_.erase(engine.id);
+  log_.Add("forward", "check")
+      .Text("target", engine.id.value())
+      .Text("outcome", answer ? "answers" : "down")
+      .Text("cause", answer ? "" : answer.error().detail);
+  if (!answer) {
+    health_.OnDown(engine.id);
+    on_down_(engine);
+  }
+}
+
+}  // namespace kingcupdrift
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "kingcupdrift/forwarding/forwarder.h"
+#include "kingcupdrift/forwarding/internal/engine_checker.h"
 #include "kingcupdrift/forwarding/internal/wait_queue.h"
 #include "kingcupdrift/forwarding/target_health.h"
 #include "kingcupdrift/routing/routing.h"
@@ -36,7 +37,8 @@
         health(clock),
         book(clock),
         budget(clock, settings_in.budget),
-        queue(clock, random) {}
+        queue(clock),
+        checker(targets, health, log) {}
 
   ForwarderSettings settings;
   Clock& clock;
@@ -50,6 +52,7 @@
   WorkBook book;
   SendBudget budget;
   WaitQueue queue;
+  EngineChecker checker;
   std::size_t entry_count = 1;
   std::optional<PlannedStop> stop;
   /// Own sends to plain targets that are under way.
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -26,6 +26,9 @@
 
   void Start();
 
+  /// An engine does not answer: a prompt that it reads a part of cannot begin.
+  void HandleEngineDown(const EngineId& engine);
+
   bool TryAgain() override;
   void OnStreamBegin(int status, const HeaderList& headers) override;
   void OnStreamEvents(const std::string& events) override;
@@ -82,11 +85,15 @@
   /// Tells the other entries that nothing of the last send is left.
   void EndWork();
 
+  bool IsReadBy(const EngineId& engine) const;
+  /// Has the engine that may have caused a failure checked.
+  void SuspectEngine(const EngineId& engine);
   void HandleDeclined(const ForwardAttemptResult& result);
   void HandleBroken(const ForwardAttemptResult& result);
   /// The target, or the helper that it blames.
   EngineId EngineAtFault(const ForwardAttemptResult& result) const;
   bool CanRepeat() const;
+  bool CanSendAgain();
   /// Places the request again; false if it must end.
   bool SendAgain(bool counts_as_further_send);
 
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -1,5 +1,6 @@
 #include "kingcupdrift/forwarding/internal/forward_request.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace kingcupdrift {
@@ -44,6 +45,7 @@
     case ForwardAttemptEnd::kNotSent:
       tried_.insert(target);
       context_.health.OnFailure(target);
+      SuspectEngine(target);
       --sends_;
       ++unsent_;
       if (unsent_ > kMaxUnsent || !SendAgain(false)) {
@@ -53,6 +55,7 @@
     case ForwardAttemptEnd::kBroken:
       tried_.insert(target);
       context_.health.OnFailure(target);
+      SuspectEngine(target);
       HandleBroken(result);
       return;
   }
@@ -68,6 +71,9 @@
       .Number("status", result.response.status);
   tried_.insert(at_fault);
   context_.health.OnFailure(at_fault);
+  if (at_fault != target) {
+    SuspectEngine(at_fault);
+  }
   --sends_;
   ++unsent_;
   if (unsent_ > kMaxUnsent || !SendAgain(true)) {
@@ -99,15 +105,47 @@
   }
 }
 
+void ForwardRequest::SuspectEngine(const EngineId& engine) {
+  const TargetRecord* const record = context_.directory.Find(engine);
+  if (call_.prompt && record != nullptr) {
+    context_.checker.Suspect(record->address);
+  }
+}
+
+bool ForwardRequest::IsReadBy(const EngineId& engine) const {
+  return attempt_ != nullptr && !attempt_->has_first_event() &&
+         std::any_of(choice_.helpers.begin(), choice_.helpers.end(),
+                     [&engine](const PromptHelper& it) {
+                       return it.engine.id == engine;
+                     });
+}
+
+void ForwardRequest::HandleEngineDown(const EngineId& engine) {
+  if (is_done_ || !IsReadBy(engine) || !CanRepeat() || !CanSendAgain()) {
+    return;
+  }
+  context_.log.Add("forward", "reader_down")
+      .Text("request", call_.id.value())
+      .Text("target", choice_.target.id.value())
+      .Text("reader", engine.value());
+  EndAttempt();
+  tried_.insert(engine);
+  if (!SendAgain(true)) {
+    FailOrRefuse("an engine that read the prompt is down");
+  }
+}
+
 bool ForwardRequest::CanRepeat() const {
   return route_->repeat == RepeatRule::kIdempotent;
 }
 
+bool ForwardRequest::CanSendAgain() {
+  return sends_ < route_->max_attempts && TimeLeft() >= kMinTimeLeft &&
+         !Targets().empty();
+}
+
 bool ForwardRequest::SendAgain(bool counts_as_further_send) {
-  if (sends_ >= route_->max_attempts || TimeLeft() < kMinTimeLeft) {
-    return false;
-  }
-  if (Targets().empty()) {
+  if (!CanSendAgain()) {
     return false;
   }
   if (counts_as_further_send &&
--- a/src/kingcupdrift/forwarding/internal/wait_queue.cc
+++ b/src/kingcupdrift/forwarding/internal/wait_queue.cc
@@ -10,7 +10,7 @@
   rows_[key] = &waiter;
   keys_[&waiter] = key;
   if (!timer_) {
-    Schedule(DrawInterval());
+    Schedule(kInterval);
   }
 }
 
@@ -29,13 +29,6 @@
   }
 }
 
-Duration WaitQueue::DrawInterval() {
-  const auto range = static_cast<std::uint64_t>(
-      (kMaxInterval - kMinInterval).count());
-  return kMinInterval +
-         Duration(static_cast<Duration::rep>(random_.Next() % range));
-}
-
 void WaitQueue::Schedule(Duration delay) {
   timer_ = clock_.RunAfter(delay, [this] { Run(); });
 }
@@ -60,7 +53,7 @@
     }
   }
   if (!rows_.empty() && !timer_) {
-    Schedule(DrawInterval());
+    Schedule(kInterval);
   }
 }
 
--- a/src/kingcupdrift/forwarding/internal/wait_queue.h
+++ b/src/kingcupdrift/forwarding/internal/wait_queue.h
@@ -22,32 +22,25 @@
 /// to this entry, so that they also try at intervals.
 class WaitQueue {
  public:
-  WaitQueue(Clock& clock, Random& random) : clock_(clock), random_(random) {}
+  explicit WaitQueue(Clock& clock) : clock_(clock) {}
 
   /// `work`: engine time that the request needs.
   void Add(Waiter& waiter, Duration work);
   void Remove(Waiter& waiter);
-  /// Lets the waiting requests try again in a later turn. For room that this
-  /// entry itself made: it is the first to know, so that room passes from one
-  /// of its requests to the next. Were all entries woken by the same news, all
-  /// would send to the same target before they hear of each other.
+  /// Lets the waiting requests try again in a later turn.
   void Wake();
   std::size_t size() const { return rows_.size(); }
 
-  /// Pause between two tries: short against the shortest target latency of any
-  /// route. Drawn anew each time, so that entries try one after another.
-  static constexpr Duration kMinInterval = std::chrono::milliseconds(5);
-  static constexpr Duration kMaxInterval = std::chrono::milliseconds(25);
+  /// Short against the shortest target latency of any route.
+  static constexpr Duration kInterval = std::chrono::milliseconds(15);
 
  private:
   using Key = std::pair<Duration, std::uint64_t>;
 
   void Schedule(Duration delay);
   void Run();
-  Duration DrawInterval();
 
   Clock& clock_;
-  Random& random_;
   std::map<Key, Waiter*> rows_;
   std::map<Waiter*, Key> keys_;
   std::uint64_t next_number_ = 0;
--- a/src/kingcupdrift/forwarding/target_health.h
+++ b/src/kingcupdrift/forwarding/target_health.h
@@ -15,17 +15,25 @@
 
   void OnSuccess(const EngineId& target);
   void OnFailure(const EngineId& target);
+  /// The target does not answer at all.
+  void OnDown(const EngineId& target);
   bool IsDoubted(const EngineId& target) const;
+  /// Found not to answer within `kDownDoubt`.
+  bool IsDown(const EngineId& target) const;
 
   /// Doubt after one failure; doubles with each further one in a row. As long
   /// as a connection attempt to a silent target takes at most.
   static constexpr Duration kMinDoubt = std::chrono::milliseconds(500);
   /// Engines that start again are back after a few seconds.
   static constexpr Duration kMaxDoubt = std::chrono::seconds(4);
+  /// A target that does not answer is doubted this long, and checked again when
+  /// it then fails a send. Engines that start again need seconds.
+  static constexpr Duration kDownDoubt = std::chrono::milliseconds(1500);
 
  private:
   struct Row {
     int failures = 0;
+    MonotonicTime down_until{};
     MonotonicTime doubted_until{};
   };
 
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -128,6 +128,8 @@
 /// Work that the sender started, moved on or ended, and what it knows.
 struct WorkNotesMessage {
   std::vector<WorkNote> notes;
+  /// Engines that the sender suspects not to answer.
+  std::vector<EngineId> suspects;
   /// `notes` names all that the sender has under way.
   bool is_complete = false;
   /// The sender asks for such a message.
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -83,6 +83,12 @@
       const TargetRequest& request,
       TargetObserver& observer) = 0;
 
+  /// Asks an engine whether it answers, within `limit`. Any error: it does not,
+  /// or another one has its address.
+  virtual void Check(const EngineAddress& engine,
+                     Duration limit,
+                     DoneCallback callback) = 0;
+
   /// Reserves memory for `hold`, or renews a reservation. kOverloaded: the
   /// memory is not free.
   virtual void Reserve(const EngineAddress& engine,
--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -13,15 +13,32 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
+using WireTexts = flatbuffers::Vector<Offset<flatbuffers::String>>;
+
+Offset<WireTexts> EncodeEngines(FlatBufferBuilder& builder,
+                                const std::vector<EngineId>& engines) {
+  std::vector<Offset<flatbuffers::String>> names;
+  for (const EngineId& it : engines) {
+    names.push_back(builder.CreateString(it.value()));
+  }
+  return builder.CreateVector(names);
+}
+
+std::vector<EngineId> DecodeEngines(const WireTexts* names) {
+  std::vector<EngineId> engines;
+  if (names != nullptr) {
+    for (const flatbuffers::String* const it : *names) {
+      engines.emplace_back(it->str());
+    }
+  }
+  return engines;
+}
+
 Offset<wire::WorkNote> EncodeWorkNote(FlatBufferBuilder& builder,
                                       const WorkNote& note) {
-  std::vector<Offset<flatbuffers::String>> helpers;
-  for (const EngineId& it : note.helpers) {
-    helpers.push_back(builder.CreateString(it.value()));
-  }
   const auto attempt = builder.CreateString(note.attempt.value());
   const auto engine = builder.CreateString(note.engine.value());
-  const auto helper_list = builder.CreateVector(helpers);
+  const auto helper_list = EncodeEngines(builder, note.helpers);
   std::vector<std::int64_t> held;
   for (const TokenCount it : note.held) {
     held.push_back(it.value());
@@ -43,11 +60,7 @@
   out.attempt = AttemptId(note.attempt()->str());
   out.phase = static_cast<WorkPhase>(note.phase());
   out.engine = EngineId(Text(note.engine()));
-  if (note.helpers() != nullptr) {
-    for (const flatbuffers::String* const it : *note.helpers()) {
-      out.helpers.emplace_back(it->str());
-    }
-  }
+  out.helpers = DecodeEngines(note.helpers());
   const std::size_t held = note.held() == nullptr ? 0 : note.held()->size();
   if (held != 0 && held != out.helpers.size()) {
     return BadFrame("a work note is not valid");
@@ -73,7 +86,7 @@
   const auto table = wire::CreateWorkNotes(
       builder, builder.CreateVector(notes), message.is_leaving,
       message.store_version.value(), message.has_store, message.is_complete,
-      message.wants_complete);
+      message.wants_complete, EncodeEngines(builder, message.suspects));
   return table;
 }
 
@@ -95,7 +108,8 @@
 }
 
 Result<PeerPayload> DecodeWorkNotes(const wire::WorkNotes& table) {
-  if (!IsWithin(table.notes(), kMaxPeerNotes)) {
+  if (!IsWithin(table.notes(), kMaxPeerNotes) ||
+      !IsWithin(table.suspects(), kMaxPeerNotes)) {
     return BadFrame("a list in the frame is too long");
   }
   WorkNotesMessage message;
@@ -104,6 +118,7 @@
   message.has_store = table.has_store();
   message.is_complete = table.is_complete();
   message.wants_complete = table.wants_complete();
+  message.suspects = DecodeEngines(table.suspects());
   if (table.notes() == nullptr) {
     return message;
   }
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -117,16 +117,12 @@
   return is_shared;
 }
 
-bool PromptPlacer::HasSlack(const Candidate& candidate, Duration work) const {
-  return candidate.Bears(work) && candidate.work.backlog <= kSlackBacklog &&
-         candidate.work.streams < kSlackFill * timing_.slots;
-}
-
 std::optional<PromptPlacement> PromptPlacer::PlaceWhole(
     const PromptDemand& demand,
     Duration work,
     const std::vector<Candidate>& candidates) const {
   const TokenCount needed = demand.prompt + demand.output;
+  const bool is_urgent = demand.waited > demand.target_latency / 2;
   const Duration good = Scale(demand.target_latency, kGoodLatency);
   const std::vector<bool> is_shared = ChooseShared(demand, candidates);
   SeededRandom random(demand.seed);
@@ -134,18 +130,13 @@
   Duration best_cost{0};
   for (const Candidate& it : candidates) {
     const Duration spread = Scale(kSpread, random.Unit());
-    if (!it.has_slot || it.free < needed) {
+    if (!it.has_slot || it.free < needed || (!is_urgent && !it.Bears(work))) {
       continue;
     }
     PromptPlacement placement;
     placement.engine = it.position;
     placement.part_time = work;
     placement.first_event = it.pass / 2 + it.work.backlog + work + it.pass_with;
-    const bool is_late =
-        demand.waited + placement.first_event > demand.target_latency;
-    if (is_late ? !HasSlack(it, work) : !it.Bears(work)) {
-      continue;
-    }
     // Other engines are taken only once no shared one is good enough, and first
     // those where a stream of a short prompt runs anyway.
     Duration cost = placement.first_event + spread;
@@ -229,8 +220,7 @@
     }
     const Duration cost =
         StartOf(*it) + it->pass_with +
-        (is_short_of_memory ? kReserveTime + kReservePenalty
-                            : Duration::zero());
+        (is_short_of_memory ? kReserveCost : Duration::zero());
     if (first == nullptr || cost < first_cost) {
       first = it;
       first_cost = cost;
@@ -257,7 +247,7 @@
   }
   placement.first_event = first->pass / 2 + start + part + first->pass_with;
   if (first->free < needed) {
-    placement.first_event += kReserveTime;
+    placement.first_event += kReserveCost;
     if (!DivideMemory(needed - first->free, candidates, placement)) {
       return std::nullopt;
     }
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -77,11 +77,6 @@
   /// Part of the slots that short prompts fill at the engines they share. Each
   /// further stream lengthens the passes that all others wait for.
   static constexpr double kSharedFill = 0.5;
-  /// A prompt that comes late in any case takes only what prompts that can still
-  /// be on time leave: engines below this part of their slots, with no longer
-  /// backlog than this.
-  static constexpr double kSlackFill = 0.9;
-  static constexpr Duration kSlackBacklog = std::chrono::milliseconds(50);
   /// Random part of an engine's cost, so that entries which know the same do
   /// not all choose the same engine: about one short prompt's reading.
   static constexpr Duration kSpread = std::chrono::milliseconds(25);
@@ -93,11 +88,7 @@
   static constexpr double kPlannedMemory = 0.98;
   /// What a reservation adds to the time to the first event: a call to each
   /// holder before the prompt is sent.
-  static constexpr Duration kReserveTime = std::chrono::milliseconds(40);
-  /// An engine with memory for the whole prompt is preferred by this much more:
-  /// reservations fail where entries choose the same holders, and lengthen the
-  /// steps of the holders' own streams.
-  static constexpr Duration kReservePenalty = std::chrono::milliseconds(460);
+  static constexpr Duration kReserveCost = std::chrono::milliseconds(40);
   /// Part of a stream's pause limit that is planned for. The rest covers what
   /// the entries do not know of each other yet.
   static constexpr double kPlannedPause = 0.8;
@@ -117,7 +108,6 @@
       const PromptDemand& demand,
       Duration work,
       const std::vector<Candidate>& candidates) const;
-  bool HasSlack(const Candidate& candidate, Duration work) const;
   std::vector<bool> ChooseShared(
       const PromptDemand& demand,
       const std::vector<Candidate>& candidates) const;
--- a/tests/forwarding/entry_board_test.cc
+++ b/tests/forwarding/entry_board_test.cc
@@ -74,6 +74,9 @@
   void OnWork(const InstanceId& owner, const WorkNote& note) override {
     heard.emplace_back(owner, note);
   }
+  void OnSuspicion(const EngineId& engine) override {
+    suspects.push_back(engine);
+  }
   std::vector<WorkNote> OwnWork() const override { return own_work; }
   void OnEntryLost(const InstanceId& entry) override { lost.push_back(entry); }
   OwnState CurrentState() const override { return state; }
@@ -95,6 +98,7 @@
   std::vector<std::pair<InstanceId, WorkNote>> heard;
   std::vector<InstanceId> lost;
   std::vector<WorkNote> own_work;
+  std::vector<EngineId> suspects;
   OwnState state{StoreVersion(10), true, false};
   Wire::Link link;
   EntryBoard board;
--- a/tests/forwarding/forwarder_test.cc
+++ b/tests/forwarding/forwarder_test.cc
@@ -242,6 +242,62 @@
   }
 }
 
+TEST_CASE("a prompt is sent again at once when one of its readers is down") {
+  ForwardingHarness harness;
+  harness.AddEngines(17);
+  harness.Handle(ForwardingHarness::Prompt(150'000));
+  const EngineAddress dead = harness.send(0).helpers.at(0).engine;
+  harness.targets.silent.insert(dead.id);
+  harness.forwarder->HearSuspicion(dead.id);
+  // One check may be lost on the way.
+  harness.targets.AnswerOrders();
+  CHECK(harness.targets.sends.size() == 1);
+  harness.targets.AnswerOrders();
+  REQUIRE(harness.targets.sends.size() == 2);
+  CHECK(harness.send(0).observer == nullptr);
+  CHECK(harness.send(1).target.id != dead.id);
+  for (const PromptHelper& it : harness.send(1).helpers) {
+    CHECK(it.engine.id != dead.id);
+  }
+}
+
+TEST_CASE("a suspicion alone neither ends a send nor keeps an engine from use") {
+  ForwardingHarness harness;
+  harness.AddEngines(17);
+  harness.Handle(ForwardingHarness::Prompt(150'000));
+  const EngineId suspect = harness.send(0).helpers.at(0).engine.id;
+  harness.forwarder->HearSuspicion(suspect);
+  harness.targets.AnswerOrders();
+  CHECK(harness.targets.sends.size() == 1);
+  CHECK(harness.targets.checks == std::vector<EngineId>{suspect});
+}
+
+TEST_CASE("an engine that breaks a stream is checked, and others are told") {
+  ForwardingHarness harness;
+  harness.AddEngines(2);
+  std::vector<EngineId> told;
+  harness.forwarder->OnEngineSuspected(
+      [&told](const EngineId& engine) { told.push_back(engine); });
+  harness.Handle(ForwardingHarness::Prompt(2000));
+  const EngineId broken = harness.send(0).target.id;
+  harness.Fail(0, ErrorCode::kUnknownEffect);
+  CHECK(told == std::vector<EngineId>{broken});
+  CHECK(harness.targets.checks == std::vector<EngineId>{broken});
+}
+
+TEST_CASE("a stream that has begun goes on when a reader of its prompt dies") {
+  ForwardingHarness harness;
+  harness.AddEngines(17);
+  harness.Handle(ForwardingHarness::Prompt(150'000));
+  harness.Stream(0, Event(1));
+  const EngineId dead = harness.send(0).helpers.at(0).engine.id;
+  harness.targets.silent.insert(dead);
+  harness.forwarder->HearSuspicion(dead);
+  harness.targets.AnswerOrders();
+  harness.targets.AnswerOrders();
+  CHECK(harness.targets.sends.size() == 1);
+}
+
 TEST_CASE("a reservation that fails gives back the others and is tried anew") {
   ForwardingHarness harness;
   harness.AddEngines(17);
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -75,6 +75,18 @@
   return std::make_unique<FakeTargetCall>(send);
 }
 
+void FakeTargetClient::Check(const EngineAddress& engine,
+                             Duration,
+                             DoneCallback callback) {
+  checks.push_back(engine.id);
+  Result<void> done;
+  if (silent.contains(engine.id)) {
+    done = MakeError(ErrorCode::kUnavailable, "no answer");
+  }
+  unanswered.push_back(
+      [done, callback = std::move(callback)] { callback(done); });
+}
+
 void FakeTargetClient::Reserve(const EngineAddress& engine,
                                const ReservationId& reservation,
                                TokenCount tokens,
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -41,6 +41,9 @@
   std::unique_ptr<TargetCall> Send(const EngineAddress& target,
                                    const TargetRequest& request,
                                    TargetObserver& observer) override;
+  void Check(const EngineAddress& engine,
+             Duration limit,
+             DoneCallback callback) override;
   void Reserve(const EngineAddress& engine,
                const ReservationId& reservation,
                TokenCount tokens,
@@ -57,6 +60,9 @@
   std::vector<std::shared_ptr<TargetSend>> sends;
   /// Reservations in force, by engine and identifier.
   std::map<std::pair<EngineId, ReservationId>, TokenCount> reservations;
+  /// Engines that do not answer checks.
+  std::set<EngineId> silent;
+  std::vector<EngineId> checks;
   /// Engines that refuse reservations.
   std::set<EngineId> full;
   std::vector<std::function<void()>> unanswered;
