Let long prompts at risk make few short streams late

No single engine may be delayed by a part.

From a quarter of its target latency on, until it is late, a prompt may delay one stream for each 0.6 s of its reading, at engines with at most three streams.

--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -169,6 +169,21 @@
   return 2 * ideal + demand.waited / kWaitedPerDelay;
 }
 
+// A prompt with time left waits until nobody is disturbed. One that would come
+// late may make a few streams late instead, in proportion to its own work.
+int PromptPlacer::BreakableStreams(const PromptDemand& demand,
+                                   Duration work) const {
+  if (demand.waited < demand.target_latency / kRiskShare ||
+      demand.waited > demand.target_latency) {
+    return 0;
+  }
+  return static_cast<int>(work / kWorkPerBrokenStream);
+}
+
+Duration PromptPlacer::CostOf(const PromptPlacement& placement) {
+  return placement.first_event + placement.broken_streams * kBreakCost;
+}
+
 std::optional<PromptPlacement> PromptPlacer::PlaceSplit(
     const PromptDemand& demand,
     Duration work,
@@ -192,7 +207,7 @@
     }
     const auto placement =
         SplitOver(demand, work, helpers, candidates, by_start);
-    if (placement && (!best || placement->first_event < best->first_event)) {
+    if (placement && (!best || CostOf(*placement) < CostOf(*best))) {
       best = placement;
     }
   }
@@ -210,17 +225,24 @@
     const std::vector<const Candidate*>& by_start) const {
   const Duration part = work / static_cast<Duration::rep>(helpers + 1);
   const TokenCount needed = demand.prompt + demand.output;
+  const auto breaks = [part](const Candidate& it) { return !it.Bears(part); };
+  const auto may_break = [part](const Candidate& it) {
+    return it.is_stricter && it.work.streams <= kFewStreams &&
+           part + it.work.backlog <= kMaxBreakingPart;
+  };
+  const int breakable = BreakableStreams(demand, work);
   const Candidate* first = nullptr;
   Duration first_cost{0};
   for (const Candidate* it : by_start) {
     const bool is_short_of_memory = it->free < needed;
-    if (!it->has_slot || !it->Bears(part) ||
-        (is_short_of_memory && helpers == 0)) {
+    if (!it->has_slot || (is_short_of_memory && helpers == 0) ||
+        (breaks(*it) && (!may_break(*it) || it->work.streams > breakable))) {
       continue;
     }
     const Duration cost =
         StartOf(*it) + it->pass_with +
-        (is_short_of_memory ? kReserveCost : Duration::zero());
+        (is_short_of_memory ? kReserveCost : Duration::zero()) +
+        (breaks(*it) ? it->work.streams * kBreakCost : Duration::zero());
     if (first == nullptr || cost < first_cost) {
       first = it;
       first_cost = cost;
@@ -232,15 +254,34 @@
   PromptPlacement placement;
   placement.engine = first->position;
   placement.part_time = part;
+  placement.broken_streams = breaks(*first) ? first->work.streams : 0;
   Duration start = StartOf(*first);
+  const auto add_helper = [&](const Candidate& it) {
+    placement.helpers.push_back(it.position);
+    start = std::max(start, StartOf(it));
+  };
+  std::vector<const Candidate*> breaking;
   for (const Candidate* it : by_start) {
-    if (placement.helpers.size() == helpers) {
-      break;
+    if (it == first || !it->can_help || placement.helpers.size() == helpers) {
+      continue;
     }
-    if (it != first && it->can_help && it->Bears(part)) {
-      placement.helpers.push_back(it->position);
-      start = std::max(start, StartOf(*it));
+    if (!breaks(*it)) {
+      add_helper(*it);
+    } else if (may_break(*it)) {
+      breaking.push_back(it);
+    }
+  }
+  std::stable_sort(breaking.begin(), breaking.end(),
+                   [](const Candidate* a, const Candidate* b) {
+                     return a->work.streams < b->work.streams;
+                   });
+  for (const Candidate* it : breaking) {
+    if (placement.helpers.size() == helpers ||
+        placement.broken_streams + it->work.streams > breakable) {
+      break;
     }
+    placement.broken_streams += it->work.streams;
+    add_helper(*it);
   }
   if (placement.helpers.size() < helpers) {
     return std::nullopt;
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -44,6 +44,8 @@
   Duration part_time{0};
   /// Time to the first event.
   Duration first_event{0};
+  /// Streams that will stand still for longer than their callers accept.
+  int broken_streams = 0;
 };
 
 /// Chooses engines for prompts of very unlike lengths by what the engines'
@@ -92,6 +94,18 @@
   /// Part of a stream's pause limit that is planned for. The rest covers what
   /// the entries do not know of each other yet.
   static constexpr double kPlannedPause = 0.8;
+  /// A prompt may make other streams late from this part of its target latency
+  /// on, until it is late itself.
+  static constexpr int kRiskShare = 4;
+  /// One stream may be made late for each such reading time of a prompt: twice
+  /// the engine time that a stream of a short prompt takes in all.
+  static constexpr Duration kWorkPerBrokenStream =
+      std::chrono::milliseconds(600);
+  /// Only engines with so few streams, for so long.
+  static constexpr int kFewStreams = 3;
+  static constexpr Duration kMaxBreakingPart = std::chrono::milliseconds(600);
+  /// A stream made late weighs as much as this later first event.
+  static constexpr Duration kBreakCost = std::chrono::milliseconds(30);
   /// Reading time that a helper may have before it: keeps every engine busy
   /// between two dispatches and leaves the order of prompts to the entries.
   static constexpr Duration kMaxBacklog = std::chrono::milliseconds(400);
@@ -127,6 +141,8 @@
   bool DivideMemory(TokenCount missing,
                     const std::vector<Candidate>& candidates,
                     PromptPlacement& placement) const;
+  int BreakableStreams(const PromptDemand& demand, Duration work) const;
+  static Duration CostOf(const PromptPlacement& placement);
   Duration AcceptedFirstEvent(const PromptDemand& demand, Duration work) const;
   Duration AcceptedBacklog(const PromptDemand& demand, Duration work) const;
   /// When a part could be read there, with what that costs others.
