--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -78,7 +78,7 @@
   static constexpr double kGoodLatency = 0.7;
   /// Part of the slots that short prompts fill at the engines they share. Each
   /// further stream lengthens the passes that all others wait for.
-  static constexpr double kSharedFill = 0.5;
+  static constexpr double kSharedFill = 0.75;
   /// Random part of an engine's cost, so that entries which know the same do
   /// not all choose the same engine: about one short prompt's reading.
   static constexpr Duration kSpread = std::chrono::milliseconds(25);
