Send no prompt whose first event would come after its caller has left

Cause: of 570 prompts beyond 200,000 tokens, 82 were sent after up to 11 s of waiting and read in vain, their callers gone before the first event.

--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -97,7 +97,12 @@
   for (const TargetRecord* it : targets) {
     views.push_back({it->address.id, context_.book.At(it->address.id)});
   }
-  const std::optional<PromptPlacement> placement = placer.Place(demand, views);
+  std::optional<PromptPlacement> placement = placer.Place(demand, views);
+  // Its caller would have left before the first event.
+  if (placement && !has_begun_ &&
+      demand.waited + placement->first_event > route_->first_event_limit) {
+    placement.reset();
+  }
   if (!placement) {
     const Duration waited = context_.clock.Now() - arrival_;
     return !has_begun_ && waited > route_->first_event_limit ? Placed::kNever
