--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -89,7 +89,11 @@
     Choice& choice) {
   const PromptPlacer placer(timing);
   const PromptDemand demand = Demand();
-  if (!placer.Fits(demand, targets.size())) {
+  // A caller that has its first event waits as long as its time limit.
+  const Duration left =
+      has_begun_ ? TimeLeft() : route_->first_event_limit - demand.waited;
+  if (!placer.Fits(demand, targets.size()) ||
+      placer.IdealFirstEvent(demand) > left) {
     return Placed::kNever;
   }
   std::vector<EngineView> views;
@@ -97,16 +101,9 @@
   for (const TargetRecord* it : targets) {
     views.push_back({it->address.id, context_.book.At(it->address.id)});
   }
-  std::optional<PromptPlacement> placement = placer.Place(demand, views);
-  // Its caller would have left before the first event.
-  if (placement && !has_begun_ &&
-      demand.waited + placement->first_event > route_->first_event_limit) {
-    placement.reset();
-  }
-  if (!placement) {
-    const Duration waited = context_.clock.Now() - arrival_;
-    return !has_begun_ && waited > route_->first_event_limit ? Placed::kNever
-                                                             : Placed::kWait;
+  const std::optional<PromptPlacement> placement = placer.Place(demand, views);
+  if (!placement || placement->first_event > left) {
+    return Placed::kWait;
   }
   choice.target = targets[placement->engine]->address;
   for (std::size_t i = 0; i < placement->helpers.size(); ++i) {
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -160,13 +160,16 @@
   return Scale(kMaxBacklog, patience / std::sqrt(size));
 }
 
+Duration PromptPlacer::IdealFirstEvent(const PromptDemand& demand) const {
+  const Duration work = timing_.ReadTime(demand.prompt);
+  return work / static_cast<Duration::rep>(kMaxHelpers + 1) +
+         timing_.PassTime(1, demand.prompt + demand.output);
+}
+
 // Waiting for helpers beats reading with too few of them. The longer the prompt
 // has waited, the fewer are enough.
-Duration PromptPlacer::AcceptedFirstEvent(const PromptDemand& demand,
-                                          Duration work) const {
-  const Duration ideal = work / static_cast<Duration::rep>(kMaxHelpers + 1) +
-                         timing_.PassTime(1, demand.prompt + demand.output);
-  return 2 * ideal + demand.waited / kWaitedPerDelay;
+Duration PromptPlacer::AcceptedFirstEvent(const PromptDemand& demand) const {
+  return 2 * IdealFirstEvent(demand) + demand.waited / kWaitedPerDelay;
 }
 
 // A prompt with time left waits until nobody is disturbed. One that would come
@@ -211,7 +214,7 @@
       best = placement;
     }
   }
-  if (best && best->first_event > AcceptedFirstEvent(demand, work)) {
+  if (best && best->first_event > AcceptedFirstEvent(demand)) {
     return std::nullopt;
   }
   return best;
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -65,6 +65,9 @@
       const PromptDemand& demand,
       const std::vector<EngineView>& engines) const;
 
+  /// Time to the first event if all engines were idle.
+  Duration IdealFirstEvent(const PromptDemand& demand) const;
+
   /// Whether `demand` fits into the memory of the engine, or of several.
   bool Fits(const PromptDemand& demand, std::size_t engines) const;
 
@@ -143,7 +146,7 @@
                     PromptPlacement& placement) const;
   int BreakableStreams(const PromptDemand& demand, Duration work) const;
   static Duration CostOf(const PromptPlacement& placement);
-  Duration AcceptedFirstEvent(const PromptDemand& demand, Duration work) const;
+  Duration AcceptedFirstEvent(const PromptDemand& demand) const;
   Duration AcceptedBacklog(const PromptDemand& demand, Duration work) const;
   /// When a part could be read there, with what that costs others.
   static Duration StartOf(const Candidate& candidate);
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -135,6 +135,8 @@
   RouteRule prompts = Route("/prompt/", RepeatRule::kIdempotent, 2);
   prompts.is_streaming = true;
   prompts.pause_limit = milliseconds(250);
+  // Long enough to read the largest prompt of these tests.
+  prompts.first_event_limit = milliseconds(8000);
   prompts.shares = {{ServiceId("model"), 1}};
   config.routes = {prompts, Route("/safe/", RepeatRule::kIdempotent, 2),
                    Route("/once/", RepeatRule::kOnce, 1)};
