--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -174,17 +174,17 @@
 
 // A prompt with time left waits until nobody is disturbed. One that would come
 // late may make a few streams late instead, in proportion to its own work.
-int PromptPlacer::BreakableStreams(const PromptDemand& demand,
+int PromptPlacer::DelayableStreams(const PromptDemand& demand,
                                    Duration work) const {
   if (demand.waited < demand.target_latency / kRiskShare ||
       demand.waited > demand.target_latency) {
     return 0;
   }
-  return static_cast<int>(work / kWorkPerBrokenStream);
+  return static_cast<int>(work / kWorkPerDelayedStream);
 }
 
 Duration PromptPlacer::CostOf(const PromptPlacement& placement) {
-  return placement.first_event + placement.broken_streams * kBreakCost;
+  return placement.first_event + placement.delayed_streams * kDelayCost;
 }
 
 std::optional<PromptPlacement> PromptPlacer::PlaceSplit(
@@ -202,6 +202,7 @@
                    [](const Candidate* a, const Candidate* b) {
                      return StartOf(*a) < StartOf(*b);
                    });
+  const int may_delay = DelayableStreams(demand, work);
   std::optional<PromptPlacement> best;
   for (std::size_t helpers = 0; helpers <= kMaxHelpers; ++helpers) {
     const Duration part = work / static_cast<Duration::rep>(helpers + 1);
@@ -209,7 +210,8 @@
       break;
     }
     const auto placement =
-        SplitOver(demand, work, helpers, candidates, by_start);
+        SplitOver({demand.prompt + demand.output, part, helpers, may_delay},
+                  candidates, by_start);
     if (placement && (!best || CostOf(*placement) < CostOf(*best))) {
       best = placement;
     }
@@ -220,79 +222,104 @@
   return best;
 }
 
-std::optional<PromptPlacement> PromptPlacer::SplitOver(
-    const PromptDemand& demand,
-    Duration work,
-    std::size_t helpers,
-    const std::vector<Candidate>& candidates,
+bool PromptPlacer::MayDelay(const Candidate& candidate, Duration part) {
+  return candidate.is_stricter && candidate.work.streams <= kFewStreams &&
+         part + candidate.work.backlog <= kMaxDelayingPart;
+}
+
+// The engine that writes the answer; null if none can.
+const PromptPlacer::Candidate* PromptPlacer::ChooseFirst(
+    const Split& split,
     const std::vector<const Candidate*>& by_start) const {
-  const Duration part = work / static_cast<Duration::rep>(helpers + 1);
-  const TokenCount needed = demand.prompt + demand.output;
-  const auto breaks = [part](const Candidate& it) { return !it.Bears(part); };
-  const auto may_break = [part](const Candidate& it) {
-    return it.is_stricter && it.work.streams <= kFewStreams &&
-           part + it.work.backlog <= kMaxBreakingPart;
-  };
-  const int breakable = BreakableStreams(demand, work);
   const Candidate* first = nullptr;
   Duration first_cost{0};
   for (const Candidate* it : by_start) {
-    const bool is_short_of_memory = it->free < needed;
-    if (!it->has_slot || (is_short_of_memory && helpers == 0) ||
-        (breaks(*it) && (!may_break(*it) || it->work.streams > breakable))) {
+    const bool is_short_of_memory = it->free < split.needed;
+    if (!it->has_slot || (is_short_of_memory && split.helpers == 0)) {
+      continue;
+    }
+    const int delayed = it->Bears(split.part) ? 0 : it->work.streams;
+    if (delayed > 0 &&
+        (delayed > split.may_delay || !MayDelay(*it, split.part))) {
       continue;
     }
     const Duration cost =
-        StartOf(*it) + it->pass_with +
-        (is_short_of_memory ? kReserveCost : Duration::zero()) +
-        (breaks(*it) ? it->work.streams * kBreakCost : Duration::zero());
+        StartOf(*it) + it->pass_with + delayed * kDelayCost +
+        (is_short_of_memory ? kReserveCost : Duration::zero());
     if (first == nullptr || cost < first_cost) {
       first = it;
       first_cost = cost;
     }
   }
-  if (first == nullptr) {
-    return std::nullopt;
-  }
-  PromptPlacement placement;
-  placement.engine = first->position;
-  placement.part_time = part;
-  placement.broken_streams = breaks(*first) ? first->work.streams : 0;
-  Duration start = StartOf(*first);
-  const auto add_helper = [&](const Candidate& it) {
-    placement.helpers.push_back(it.position);
-    start = std::max(start, StartOf(it));
-  };
-  std::vector<const Candidate*> breaking;
+  return first;
+}
+
+// Engines that bear the part come first, then those with the fewest streams to
+// delay; fewer than wanted if there are no more.
+std::vector<const PromptPlacer::Candidate*> PromptPlacer::ChooseHelpers(
+    const Split& split,
+    const Candidate& first,
+    const std::vector<const Candidate*>& by_start) const {
+  std::vector<const Candidate*> helpers;
+  std::vector<const Candidate*> delayed;
   for (const Candidate* it : by_start) {
-    if (it == first || !it->can_help || placement.helpers.size() == helpers) {
+    if (it == &first || !it->can_help) {
       continue;
     }
-    if (!breaks(*it)) {
-      add_helper(*it);
-    } else if (may_break(*it)) {
-      breaking.push_back(it);
+    if (it->Bears(split.part)) {
+      helpers.push_back(it);
+    } else if (MayDelay(*it, split.part)) {
+      delayed.push_back(it);
     }
   }
-  std::stable_sort(breaking.begin(), breaking.end(),
+  std::stable_sort(delayed.begin(), delayed.end(),
                    [](const Candidate* a, const Candidate* b) {
                      return a->work.streams < b->work.streams;
                    });
-  for (const Candidate* it : breaking) {
-    if (placement.helpers.size() == helpers ||
-        placement.broken_streams + it->work.streams > breakable) {
+  int may_delay = split.may_delay;
+  if (!first.Bears(split.part)) {
+    may_delay -= first.work.streams;
+  }
+  for (const Candidate* it : delayed) {
+    may_delay -= it->work.streams;
+    if (may_delay < 0) {
       break;
     }
-    placement.broken_streams += it->work.streams;
-    add_helper(*it);
+    helpers.push_back(it);
+  }
+  helpers.resize(std::min(helpers.size(), split.helpers));
+  return helpers;
+}
+
+std::optional<PromptPlacement> PromptPlacer::SplitOver(
+    const Split& split,
+    const std::vector<Candidate>& candidates,
+    const std::vector<const Candidate*>& by_start) const {
+  const Candidate* const first = ChooseFirst(split, by_start);
+  if (first == nullptr) {
+    return std::nullopt;
   }
-  if (placement.helpers.size() < helpers) {
+  const std::vector<const Candidate*> helpers =
+      ChooseHelpers(split, *first, by_start);
+  if (helpers.size() < split.helpers) {
     return std::nullopt;
   }
-  placement.first_event = first->pass / 2 + start + part + first->pass_with;
-  if (first->free < needed) {
+  PromptPlacement placement;
+  placement.engine = first->position;
+  placement.part_time = split.part;
+  placement.delayed_streams =
+      first->Bears(split.part) ? 0 : first->work.streams;
+  Duration start = StartOf(*first);
+  for (const Candidate* it : helpers) {
+    placement.helpers.push_back(it->position);
+    placement.delayed_streams += it->Bears(split.part) ? 0 : it->work.streams;
+    start = std::max(start, StartOf(*it));
+  }
+  placement.first_event =
+      first->pass / 2 + start + split.part + first->pass_with;
+  if (first->free < split.needed) {
     placement.first_event += kReserveCost;
-    if (!DivideMemory(needed - first->free, candidates, placement)) {
+    if (!DivideMemory(split.needed - first->free, candidates, placement)) {
       return std::nullopt;
     }
   }
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -45,7 +45,7 @@
   /// Time to the first event.
   Duration first_event{0};
   /// Streams that will stand still for longer than their callers accept.
-  int broken_streams = 0;
+  int delayed_streams = 0;
 };
 
 /// Chooses engines for prompts of very unlike lengths by what the engines'
@@ -100,15 +100,17 @@
   /// A prompt may make other streams late from this part of its target latency
   /// on, until it is late itself.
   static constexpr int kRiskShare = 4;
-  /// One stream may be made late for each such reading time of a prompt: twice
-  /// the engine time that a stream of a short prompt takes in all.
-  static constexpr Duration kWorkPerBrokenStream =
+  /// One stream may be made late for each such reading time of a prompt: some
+  /// four times the engine time of a short prompt's stream, which is 0.03 s of
+  /// reading and a sixteenth of 33 passes of 0.07 s.
+  static constexpr Duration kWorkPerDelayedStream =
       std::chrono::milliseconds(600);
-  /// Only engines with so few streams, for so long.
+  /// Only engines with so few streams, and for no longer than the next stricter
+  /// kind of stream bears.
   static constexpr int kFewStreams = 3;
-  static constexpr Duration kMaxBreakingPart = std::chrono::milliseconds(600);
+  static constexpr Duration kMaxDelayingPart = std::chrono::milliseconds(600);
   /// A stream made late weighs as much as this later first event.
-  static constexpr Duration kBreakCost = std::chrono::milliseconds(30);
+  static constexpr Duration kDelayCost = std::chrono::milliseconds(30);
   /// Reading time that a helper may have before it: keeps every engine busy
   /// between two dispatches and leaves the order of prompts to the entries.
   static constexpr Duration kMaxBacklog = std::chrono::milliseconds(400);
@@ -120,6 +122,15 @@
 
  private:
   struct Candidate;
+  /// One way to read a prompt in even parts.
+  struct Split {
+    /// Memory of prompt and answer.
+    TokenCount needed;
+    Duration part{0};
+    std::size_t helpers = 0;
+    /// Most streams that it may make late.
+    int may_delay = 0;
+  };
 
   std::optional<PromptPlacement> PlaceWhole(
       const PromptDemand& demand,
@@ -134,17 +145,23 @@
       const std::vector<Candidate>& candidates) const;
   std::vector<Candidate> Assess(const PromptDemand& demand,
                                 const std::vector<EngineView>& engines) const;
+  static bool MayDelay(const Candidate& candidate, Duration part);
+  const Candidate* ChooseFirst(
+      const Split& split,
+      const std::vector<const Candidate*>& by_start) const;
+  std::vector<const Candidate*> ChooseHelpers(
+      const Split& split,
+      const Candidate& first,
+      const std::vector<const Candidate*>& by_start) const;
   std::optional<PromptPlacement> SplitOver(
-      const PromptDemand& demand,
-      Duration work,
-      std::size_t helpers,
+      const Split& split,
       const std::vector<Candidate>& candidates,
       const std::vector<const Candidate*>& by_start) const;
   /// Divides `missing` tokens among the helpers; false if they lack memory.
   bool DivideMemory(TokenCount missing,
                     const std::vector<Candidate>& candidates,
                     PromptPlacement& placement) const;
-  int BreakableStreams(const PromptDemand& demand, Duration work) const;
+  int DelayableStreams(const PromptDemand& demand, Duration work) const;
   static Duration CostOf(const PromptPlacement& placement);
   Duration AcceptedFirstEvent(const PromptDemand& demand) const;
   Duration AcceptedBacklog(const PromptDemand& demand, Duration work) const;
--- a/tests/routing/prompt_placer_test.cc
+++ b/tests/routing/prompt_placer_test.cc
@@ -136,7 +136,7 @@
   demand.waited = milliseconds(2500);
   const auto placement = placer.Place(demand, engines);
   REQUIRE(placement);
-  CHECK(placement->broken_streams == 6);
+  CHECK(placement->delayed_streams == 6);
   CHECK(placement->helpers.size() == 6);
   CHECK(placement->engine < 7);
   for (const std::size_t it : placement->helpers) {
@@ -146,7 +146,7 @@
   demand.waited = milliseconds(3100);
   const auto late = placer.Place(demand, engines);
   REQUIRE(late);
-  CHECK(late->broken_streams == 0);
+  CHECK(late->delayed_streams == 0);
 }
 
 TEST_CASE("a prompt larger than one engine's memory is held by several") {
