Do not call a prompt unrun once a reader of it went down

Cause, found by reading the diff: when a reader of a prompt went down and no other place or no budget was left, the caller was told that the prompt had not run. The reader may have finished its part, so that this is not certain.

The budget is now taken before the send is given up, and what ends afterwards promises nothing. The new case in forwarder_test was written with it.

--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -121,7 +121,8 @@
 }
 
 void ForwardRequest::HandleEngineDown(const EngineId& engine) {
-  if (is_done_ || !IsReadBy(engine) || !CanRepeat() || !CanSendAgain()) {
+  if (is_done_ || !IsReadBy(engine) || !CanRepeat() || !CanSendAgain() ||
+      !context_.budget.TryTake(service_, context_.entry_count)) {
     return;
   }
   context_.log.Add("forward", "reader_down")
@@ -129,8 +130,10 @@
       .Text("target", choice_.target.id.value())
       .Text("reader", engine.value());
   EndAttempt();
+  // The reader may have been done, and the answer on its way.
+  may_have_run_ = true;
   tried_.insert(engine);
-  if (!SendAgain(true)) {
+  if (!SendAgain(false)) {
     FailOrRefuse("an engine that read the prompt is down");
   }
 }
--- a/tests/forwarding/forwarder_test.cc
+++ b/tests/forwarding/forwarder_test.cc
@@ -273,6 +273,25 @@
   CHECK(harness.targets.checks == std::vector<EngineId>{suspect});
 }
 
+TEST_CASE("a prompt whose reader went down is not called unrun afterwards") {
+  ForwardingHarness harness;
+  harness.AddEngines(17);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(150'000));
+  const EngineId dead = harness.send(0).helpers.at(0).engine.id;
+  harness.targets.silent.insert(dead);
+  harness.forwarder->HearSuspicion(dead);
+  for (int i = 0; i < 17; ++i) {
+    harness.forwarder->RemoveTarget(
+        EngineId("engine-" + std::to_string(10 + i)), true);
+  }
+  harness.forwarder->UpdateTarget(
+      {{dead, {"10.0.0.1", 8100}}, ServiceId("model"), FailureDomain("a"), 16});
+  harness.targets.AnswerOrders();
+  harness.targets.AnswerOrders();
+  REQUIRE(caller->refusal);
+  CHECK_FALSE(IsNotRunPromise(caller->refusal->type));
+}
+
 TEST_CASE("an engine that breaks a stream is checked, and others are told") {
   ForwardingHarness harness;
   harness.AddEngines(2);
