--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -18,6 +18,7 @@
 Offset<WireTexts> EncodeEngines(FlatBufferBuilder& builder,
                                 const std::vector<EngineId>& engines) {
   std::vector<Offset<flatbuffers::String>> names;
+  names.reserve(engines.size());
   for (const EngineId& it : engines) {
     names.push_back(builder.CreateString(it.value()));
   }
