--- a/tests/forwarding/entry_board_test.cc
+++ b/tests/forwarding/entry_board_test.cc
@@ -134,6 +134,15 @@
   CHECK(harness.two.heard[0].first == InstanceId("entry-1"));
 }
 
+TEST_CASE("a suspicion reaches the other entries within milliseconds, once") {
+  BoardHarness harness;
+  harness.one.board.AnnounceSuspect(EngineId("engine"));
+  harness.clock.Advance(milliseconds(5));
+  CHECK(harness.two.suspects == std::vector<EngineId>{EngineId("engine")});
+  harness.clock.Advance(EntryBoard::kStateInterval * 2);
+  CHECK(harness.two.suspects.size() == 1);
+}
+
 TEST_CASE("an entry that starts gets the work under way at the others") {
   BoardHarness harness;
   harness.one.own_work = {Note("a"), Note("b")};
--- /dev/null
+++ b/tests/net/forwarding_codec_test.cc
@@ -0,0 +1,65 @@
+#include <doctest/doctest.h>
+
+#include <variant>
+
+#include "kingcupdrift/net/internal/peer_codec.h"
+
+namespace kingcupdrift {
+namespace {
+
+PeerMessage Notes() {
+  WorkNote note;
+  note.attempt = AttemptId("entry-1-7");
+  note.phase = WorkPhase::kReading;
+  note.engine = EngineId("first");
+  note.helpers = {EngineId("a"), EngineId("b")};
+  note.held = {TokenCount(0), TokenCount(90'000)};
+  note.prompt = TokenCount(400'000);
+  note.output = TokenCount(800);
+  note.pause_limit = std::chrono::milliseconds(1000);
+  note.part_time = std::chrono::milliseconds(700);
+  WorkNotesMessage notes;
+  notes.notes = {note};
+  notes.suspects = {EngineId("c"), EngineId("d")};
+  notes.wants_complete = true;
+  notes.has_store = true;
+  notes.store_version = StoreVersion(41);
+  PeerMessage message;
+  message.sender = InstanceId("entry-1");
+  message.payload = notes;
+  return message;
+}
+
+TEST_CASE("work notes and suspects are read as they were written") {
+  const auto frame = DecodePeerFrame(EncodePeerMessage(Notes()));
+  REQUIRE(frame);
+  REQUIRE(*frame);
+  const auto& notes = std::get<WorkNotesMessage>((*frame)->payload);
+  CHECK(notes.suspects == std::vector<EngineId>{EngineId("c"), EngineId("d")});
+  CHECK(notes.wants_complete);
+  CHECK_FALSE(notes.is_complete);
+  CHECK(notes.has_store);
+  CHECK(notes.store_version == StoreVersion(41));
+  REQUIRE(notes.notes.size() == 1);
+  const WorkNote& note = notes.notes[0];
+  CHECK(note.attempt == AttemptId("entry-1-7"));
+  CHECK(note.engine == EngineId("first"));
+  CHECK(note.helpers == std::vector<EngineId>{EngineId("a"), EngineId("b")});
+  CHECK(note.held ==
+        std::vector<TokenCount>{TokenCount(0), TokenCount(90'000)});
+  CHECK(note.prompt == TokenCount(400'000));
+  CHECK(note.pause_limit == std::chrono::milliseconds(1000));
+  CHECK(note.part_time == std::chrono::milliseconds(700));
+}
+
+TEST_CASE("a frame with too many suspects is refused") {
+  PeerMessage message = Notes();
+  std::get<WorkNotesMessage>(message.payload)
+      .suspects.assign(kMaxPeerNotes + 1, EngineId("e"));
+  const auto frame = DecodePeerFrame(EncodePeerMessage(message));
+  REQUIRE_FALSE(frame);
+  CHECK(frame.error().code == ErrorCode::kProtocol);
+}
+
+}  // namespace
+}  // namespace kingcupdrift
