Say where three figures of delayed streams come from

Cause: read as a newcomer, two limits had no source and one line of the forwarder no reason. Changed: comments only.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -51,6 +51,7 @@
         .Text("service", record.service.value())
         .Text("state", record.is_leaving ? "leaving" : "ready");
     context_.directory.Update(record);
+    // Targets write their records themselves, so that this one lives.
     context_.health.OnSuccess(record.address.id);
     context_.queue.Wake();
   }
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -105,11 +105,14 @@
   /// reading and a sixteenth of 33 passes of 0.07 s.
   static constexpr Duration kWorkPerDelayedStream =
       std::chrono::milliseconds(600);
-  /// Only engines with so few streams, and for no longer than the next stricter
-  /// kind of stream bears.
+  /// Only engines with so few streams: three are worth 1.8 s of reading by the
+  /// figure above, over half of a mean long prompt's.
   static constexpr int kFewStreams = 3;
+  /// No stream is delayed for longer: the pause that streams of middle prompts
+  /// bear, which may run there too.
   static constexpr Duration kMaxDelayingPart = std::chrono::milliseconds(600);
-  /// A stream made late weighs as much as this later first event.
+  /// A stream made late weighs as much as this later first event: the reading
+  /// time of one short prompt.
   static constexpr Duration kDelayCost = std::chrono::milliseconds(30);
   /// Reading time that a helper may have before it: keeps every engine busy
   /// between two dispatches and leaves the order of prompts to the entries.
