Log the shared parts of prompts and what a broken attempt had written

Cause: the logs cannot tell whether engines crash from what prompts contain or from their load: no line names the parts of a prompt, nor how long a broken attempt had been writing. Change: send and broken lines carry the parts that other requests may share, broken lines also the time since the first event; metrics count interrupted attempts and engines found down. No decision changes.

--- a/src/kingcupdrift/base/strong_id.h
+++ b/src/kingcupdrift/base/strong_id.h
@@ -32,6 +32,8 @@
 /// One entry (serving process): a fixed name in `serve`; a new name at each
 /// start on the platform.
 using InstanceId = StrongId<struct InstanceTag>;
+/// A part of a prompt that prompts of other requests may contain too.
+using PromptPartId = StrongId<struct PromptPartTag>;
 /// Memory, as KV cache space counted in tokens, that one attempt reserves on
 /// one or more engines.
 using ReservationId = StrongId<struct ReservationTag>;
--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -179,10 +179,18 @@
     add_gauge("kingcupdrift_targets_leaving",
               context_.directory.ListLeaving().size());
     add_gauge("kingcupdrift_targets_paused", context_.health.CountPaused());
-    out +=
-        "# TYPE kingcupdrift_target_pauses_total counter\n"
-        "kingcupdrift_target_pauses_total " +
-        std::to_string(pauses_) + "\n";
+    const auto add_counter = [&out](const std::string& name,
+                                    std::uint64_t value) {
+      out += "# TYPE " + name + " counter\n" + name + " " +
+             std::to_string(value) + "\n";
+    };
+    add_counter("kingcupdrift_target_pauses_total", pauses_);
+    add_counter("kingcupdrift_engines_found_down_total",
+                context_.engines_found_down);
+    add_counter("kingcupdrift_attempts_interrupted_before_first_event_total",
+                context_.interrupted_before_first_event);
+    add_counter("kingcupdrift_attempts_interrupted_in_stream_total",
+                context_.interrupted_streams);
     return out;
   }
 
@@ -212,6 +220,7 @@
   }
 
   void HandleDown(const EngineId& engine) {
+    ++context_.engines_found_down;
     // Requests that end in this loop stay in the map until a later turn.
     for (const auto& [number, request] : requests_) {
       request->HandleEngineDown(engine);
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -61,6 +61,11 @@
   Forwarder::WorkListener work_listener;
   // Number of the next attempt with a prompt, for its identifier.
   std::uint64_t next_prompt_attempt = 0;
+  // Attempts that may have run and brought no whole answer, for metrics.
+  std::uint64_t interrupted_before_first_event = 0;
+  std::uint64_t interrupted_streams = 0;
+  // Checks that found an engine down, for metrics.
+  std::uint64_t engines_found_down = 0;
   // Number of requests by outcome, for metrics.
   std::map<std::string, std::uint64_t> outcomes;
 };
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -84,6 +84,7 @@
     UpdateWorkPhase(WorkPhase::kDecoding);
   }
   may_have_run_ = true;
+  attempt_begun_at_ = context_.clock.Now();
   // A resumed stream keeps the response head of its first engine.
   if (!has_begun_) {
     has_begun_ = true;
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -114,6 +115,8 @@
   /// No timeouts unless a retry is possible afterwards.
   AttemptTimeouts ChooseTimeouts(const SendPlan& plan) const;
 
+  /// The shared parts of the prompt for logs, separated by commas.
+  std::string JoinSharedParts() const;
   void RegisterWork();
   void UpdateWorkPhase(WorkPhase phase);
   void EndAttempt();
@@ -180,6 +183,9 @@
   bool may_have_run_ = false;
   bool has_begun_ = false;
   bool is_done_ = false;
+  // Start of the present or last attempt's stream; absent before its first
+  // event.
+  std::optional<MonotonicTime> attempt_begun_at_;
   Duration time_to_first_event_{0};
   std::optional<MonotonicTime> last_event_at_;
   Duration longest_event_gap_{0};
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -93,6 +93,8 @@
 
 void ForwardRequest::HandleInterrupted(const ForwardAttemptResult& result) {
   may_have_run_ = true;
+  ++(attempt_begun_at_ ? context_.interrupted_streams
+                       : context_.interrupted_before_first_event);
   context_.log.Add("forward", "broken")
       .Text("request", call_.id.value())
       .Text("target", ended_attempts_.back()->target().id.value())
@@ -100,6 +102,10 @@
               framer_ && framer_->last_event_id()
                   ? static_cast<std::int64_t>(*framer_->last_event_id())
                   : 0)
+      .Milliseconds("streamed", attempt_begun_at_
+                                    ? context_.clock.Now() - *attempt_begun_at_
+                                    : Duration::zero())
+      .Text("parts", JoinSharedParts())
       .Text("cause", result.detail);
   if (!IsIdempotent() || !TryRetry(true)) {
     AbortOrRefuse(result.detail);
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -104,6 +104,7 @@
   request.helpers = plan.helpers;
   const AttemptTimeouts timeouts = ChooseTimeouts(plan);
   ++sends_;
+  attempt_begun_at_.reset();
   context_.log.Add("forward", "send")
       .Text("request", call_.id.value())
       .Text("route", route_->name)
@@ -113,6 +114,7 @@
       .Text("with", JoinHelperIds(plan.helpers))
       .Milliseconds("part", plan.part_prefill_time)
       .Number("prompt", call_.prompt ? call_.prompt->prompt.value() : 0)
+      .Text("parts", JoinSharedParts())
       .Number("send", sends_)
       .Milliseconds("waited", context_.clock.Now() - arrival_)
       .Milliseconds("predicted", plan.predicted_time_to_first_event)
@@ -126,6 +128,16 @@
       framer_ ? &*framer_ : nullptr, timeouts, *this);
 }
 
+std::string ForwardRequest::JoinSharedParts() const {
+  std::string ids;
+  if (call_.prompt) {
+    for (const PromptPartId& it : call_.prompt->shared_parts) {
+      ids += (ids.empty() ? "" : ",") + it.value();
+    }
+  }
+  return ids;
+}
+
 void ForwardRequest::RegisterWork() {
   const SendPlan& plan = plan_;
   if (!call_.prompt) {
--- a/src/kingcupdrift/interfaces/forward_call.h
+++ b/src/kingcupdrift/interfaces/forward_call.h
@@ -4,13 +4,14 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "kingcupdrift/base/base.h"
 #include "kingcupdrift/interfaces/service_client.h"
 
 namespace kingcupdrift {
 
-/// Size of a model prompt as its caller declared it; the entry (the serving
+/// A model prompt as its caller declared it; the entry (the serving
 /// process) does not parse the body.
 struct PromptSize {
   TokenCount prompt;
@@ -18,6 +19,8 @@
   TokenCount max_output;
   /// The caller's estimate of the answer; `max_output` without one.
   TokenCount expected_output;
+  /// The parts of the prompt that other requests may share, in order.
+  std::vector<PromptPartId> shared_parts = {};
 };
 
 /// A caller's request that is forwarded without parsing its body.
--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -43,6 +43,27 @@
   return DecodeCall(FakeHttpExchange(headers));
 }
 
+TEST_CASE("the last part of a prompt is its own, the others are shared") {
+  const auto parts_of = [](const std::string& listed) {
+    const ForwardCall call =
+        Decode({{"Token-Counts", "1460,80"}, {"Prompt-Prefix", listed}});
+    REQUIRE(call.prompt);
+    return call.prompt->shared_parts;
+  };
+  using Parts = std::vector<PromptPartId>;
+  CHECK(parts_of("").empty());
+  CHECK(parts_of("5c:8").empty());
+  CHECK(parts_of("5c:8,91:4, e4:2") ==
+        Parts{PromptPartId("5c"), PromptPartId("91")});
+  CHECK(parts_of("5c, :4,,91:4,e4:2") ==
+        Parts{PromptPartId("5c"), PromptPartId("91")});
+  std::string many;
+  for (int i = 0; i < 1000; ++i) {
+    many += std::to_string(i) + ":1,";
+  }
+  CHECK(parts_of(many).size() == 64);
+}
+
 TEST_CASE("a prompt's request is decoded and its key is not passed on") {
   const ForwardCall call = Decode({{"host", "example:80"},
                                    {"Request-Id", "9c41"},
