--- /dev/null
+++ b/tests/forwarding/crashing_prompts_harness.cc
@@ -0,0 +1,140 @@
+#include "tests/forwarding/crashing_prompts_harness.h"
+
+#include <algorithm>
+
+namespace kingcupdrift::fakes {
+namespace {
+
+/// Events of a whole answer.
+constexpr int kEvents = 20;
+constexpr std::int64_t kPromptTokens = 2000;
+
+std::string KeyOf(const EngineId& engine) {
+  return "targets/" + engine.value();
+}
+
+}  // namespace
+
+CrashingPromptsHarness::CrashingPromptsHarness(int entries, int engines)
+    : GatewayHarness(entries) {
+  for (int i = 0; i < engines; ++i) {
+    AddEngine();
+  }
+  Steps(4);
+}
+
+void CrashingPromptsHarness::AddEngine() {
+  const EngineId id("engine-" + std::to_string(next_engine_++));
+  engines_.insert(id);
+  Put(KeyOf(id), "ready 1 model");
+}
+
+std::vector<EngineId> CrashingPromptsHarness::ListEngines() const {
+  return {engines_.begin(), engines_.end()};
+}
+
+std::shared_ptr<CallerRecord> CrashingPromptsHarness::Ask(
+    std::size_t node,
+    const std::vector<std::string>& parts) {
+  ForwardCall call = ForwardingHarness::Prompt(kPromptTokens);
+  call.id = RequestId("request-" + std::to_string(next_request_++));
+  call.key = "kept";
+  for (const std::string& it : parts) {
+    call.prompt->shared_parts.emplace_back(it);
+  }
+  auto record = std::make_shared<CallerRecord>();
+  nodes.at(node)->gateway->Handle(std::move(call), MakeRecordingSink(record));
+  return record;
+}
+
+void CrashingPromptsHarness::Crash(const EngineId& engine) {
+  if (engines_.erase(engine) == 0) {
+    return;
+  }
+  ++crashes_;
+  restarts_.push_back(step_ + kRestartSteps);
+  for (const auto& node : nodes) {
+    node->targets.unresponsive.insert(engine);
+    // A broken attempt may be sent again, which adds to the list.
+    const auto sends = node->targets.sends;
+    for (const auto& it : sends) {
+      if (it->observer != nullptr && it->target.id == engine) {
+        it->observer->OnFailed({ErrorCode::kConnectionLost, "reset"});
+      }
+    }
+  }
+  Delete(KeyOf(engine));
+}
+
+void CrashingPromptsHarness::AnswerSend(TargetSend& send) {
+  if (!engines_.contains(send.target.id)) {
+    send.observer->OnFailed({ErrorCode::kUnavailable, "refused"});
+    return;
+  }
+  const bool crashes = std::any_of(
+      send.shared_parts.begin(), send.shared_parts.end(),
+      [this](const PromptPartId& it) { return crashing_parts.contains(it); });
+  if (crashes) {
+    Crash(send.target.id);
+    return;
+  }
+  const int event = ++events_[send.request];
+  if (event == 1 || send.last_event_id) {
+    TargetResponseHead head;
+    head.status = 200;
+    head.request = send.request;
+    send.observer->OnResponseHead(head);
+    send.last_event_id.reset();
+  }
+  if (send.observer != nullptr) {
+    send.observer->OnBytes(Event(event));
+  }
+  if (event == kEvents && send.observer != nullptr) {
+    send.observer->OnEnd();
+  }
+}
+
+void CrashingPromptsHarness::Step() {
+  ++step_;
+  for (const auto& node : nodes) {
+    const auto sends = node->targets.sends;
+    for (const auto& it : sends) {
+      if (it->observer != nullptr) {
+        AnswerSend(*it);
+      }
+    }
+    node->targets.AnswerPendingCalls();
+  }
+  clock.Advance(kStep);
+  for (const auto& node : nodes) {
+    node->targets.AnswerPendingCalls();
+  }
+  const auto due = std::erase_if(
+      restarts_, [this](int at_step) { return at_step <= step_; });
+  for (std::size_t i = 0; i < due; ++i) {
+    AddEngine();
+  }
+}
+
+void CrashingPromptsHarness::Steps(int count) {
+  for (int i = 0; i < count; ++i) {
+    Step();
+  }
+}
+
+int CrashingPromptsHarness::CountCrashingSends() const {
+  int n = 0;
+  for (const auto& node : nodes) {
+    for (const auto& it : node->targets.sends) {
+      n += std::any_of(it->shared_parts.begin(), it->shared_parts.end(),
+                       [this](const PromptPartId& part) {
+                         return crashing_parts.contains(part);
+                       })
+               ? 1
+               : 0;
+    }
+  }
+  return n;
+}
+
+}  // namespace kingcupdrift::fakes
--- /dev/null
+++ b/tests/forwarding/crashing_prompts_harness.h
@@ -0,0 +1,57 @@
+#ifndef TESTS_FORWARDING_CRASHING_PROMPTS_HARNESS_H_
+#define TESTS_FORWARDING_CRASHING_PROMPTS_HARNESS_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/forwarding/gateway_harness.h"
+
+namespace kingcupdrift::fakes {
+
+/// Entries before model engines. An engine ends when it begins to answer a
+/// prompt with a crashing part, and is back after a while as another one.
+class CrashingPromptsHarness : public GatewayHarness {
+ public:
+  explicit CrashingPromptsHarness(int entries, int engines = 24);
+
+  /// Sends a prompt with these shared parts to the entry `node`.
+  std::shared_ptr<CallerRecord> Ask(std::size_t node,
+                                    const std::vector<std::string>& parts);
+  /// Lets the engines work for `kStep`.
+  void Step();
+  void Steps(int count);
+  /// Ends the engine: its connections break and it answers no check.
+  void Crash(const EngineId& engine);
+  std::vector<EngineId> ListEngines() const;
+
+  /// Prompts with a crashing part that reached engines, repeats included.
+  int CountCrashingSends() const;
+  int crashes() const { return crashes_; }
+  std::size_t size() const { return nodes.size(); }
+
+  std::set<PromptPartId> crashing_parts;
+
+  static constexpr Duration kStep = std::chrono::milliseconds(50);
+  /// Steps in which a crashed engine is away.
+  static constexpr int kRestartSteps = 40;
+
+ private:
+  void AddEngine();
+  void AnswerSend(TargetSend& send);
+
+  std::set<EngineId> engines_;
+  /// Steps at which a crashed engine is back.
+  std::vector<int> restarts_;
+  std::map<RequestId, int> events_;
+  int next_engine_ = 0;
+  int next_request_ = 0;
+  int step_ = 0;
+  int crashes_ = 0;
+};
+
+}  // namespace kingcupdrift::fakes
+
+#endif  // TESTS_FORWARDING_CRASHING_PROMPTS_HARNESS_H_
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -31,6 +31,7 @@
   Duration time_left{0};
   std::optional<std::uint64_t> last_event_id;
   std::vector<PrefillHelper> helpers;
+  std::vector<PromptPartId> shared_parts;
   /// Null once the forwarder has closed the connection.
   TargetObserver* observer = nullptr;
 };
--- a/tests/forwarding/gateway_harness.cc
+++ b/tests/forwarding/gateway_harness.cc
@@ -48,11 +48,12 @@
   std::istringstream words(value);
   std::string state;
   std::int64_t incarnation = 0;
-  words >> state >> incarnation;
+  std::string service = "plain";
+  words >> state >> incarnation >> service;
   TargetRecord record;
   record.address = {
       ParseTargetId(key), {"10.0.9.1", 80}, Incarnation(incarnation)};
-  record.service = ServiceId("plain");
+  record.service = ServiceId(service.empty() ? "plain" : service);
   record.slots = 100;
   record.is_draining = state == "draining";
   return record;
--- a/tests/forwarding/gateway_harness.h
+++ b/tests/forwarding/gateway_harness.h
@@ -14,7 +14,7 @@
 namespace kingcupdrift::fakes {
 
 /// Decodes "VERSION KEY..." as a configuration with these callers' keys, and
-/// "STATE INCARNATION" as a target.
+/// "STATE INCARNATION [SERVICE]" as a target of "plain" or of that service.
 class TextDecoder : public StateDecoder {
  public:
   ItemKind ClassifyKey(const std::string& key) const override;
