Hold back prompts with a part that crashes engines

What callers saw: engines crashed one after the other, and over a tenth of the short prompts were not served, since a part of some prompts ended each engine that began to answer them. Cause: a crash was taken for the engine's own failure. Entries sent the prompt on to the next engine and accepted new ones, and none of them saw enough of the crashes to find out what these had in common. Change: for each engine that a check finds down, entries exchange the shared parts of the prompts that its end interrupted, and which of these parts were answered. A part is held back for ten minutes if three crashes are explained by no other part, or five if it was answered before. Each crash is blamed on one part, so that sound prompts which share other parts go on. Evidence is repeated for 3 s and sent whole to entries that start.

--- a/src/kingcupdrift/forwarding/forward_refusal.cc
+++ b/src/kingcupdrift/forwarding/forward_refusal.cc
@@ -26,6 +26,8 @@
       return "target_failed";
     case ForwardRefusalType::kTargetDeclined:
       return "target_declined";
+    case ForwardRefusalType::kQuarantined:
+      return "quarantined";
   }
   return "unknown";
 }
@@ -38,6 +40,7 @@
     case ForwardRefusalType::kNoTarget:
     case ForwardRefusalType::kTimeLimitBeforeSend:
     case ForwardRefusalType::kTargetDeclined:
+    case ForwardRefusalType::kQuarantined:
       return true;
     case ForwardRefusalType::kBadRequest:
     case ForwardRefusalType::kUnknownKey:
--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -130,7 +130,19 @@
         [listener = std::move(listener)](const EngineAddress& engine) {
           listener(engine.id);
         },
-        [this](const EngineAddress& engine) { HandleDown(engine.id); });
+        [this](const EngineAddress& engine) { HandleDown(engine); });
+  }
+
+  void SetCrashEvidenceListener(CrashEvidenceListener listener) override {
+    context_.crash_monitor.SetListener(std::move(listener));
+  }
+
+  void ApplyCrashEvidence(const CrashEvidence& evidence) override {
+    context_.crash_monitor.Apply(evidence);
+  }
+
+  CrashEvidence ListCrashEvidence(Duration max_age) const override {
+    return context_.crash_monitor.ListEvidence(max_age);
   }
 
   void CheckSuspect(const EngineId& engine) override {
@@ -179,6 +191,8 @@
     add_gauge("kingcupdrift_targets_leaving",
               context_.directory.ListLeaving().size());
     add_gauge("kingcupdrift_targets_paused", context_.health.CountPaused());
+    add_gauge("kingcupdrift_prompt_parts_quarantined",
+              context_.crash_monitor.CountQuarantined());
     const auto add_counter = [&out](const std::string& name,
                                     std::uint64_t value) {
       out += "# TYPE " + name + " counter\n" + name + " " +
@@ -219,11 +233,12 @@
     }
   }
 
-  void HandleDown(const EngineId& engine) {
+  void HandleDown(const EngineAddress& engine) {
     ++context_.engines_found_down;
+    context_.crash_monitor.OnEngineDown(engine);
     // Requests that end in this loop stay in the map until a later turn.
     for (const auto& [number, request] : requests_) {
-      request->HandleEngineDown(engine);
+      request->HandleEngineDown(engine.id);
     }
   }
 
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -88,6 +88,14 @@
   virtual void ApplyLeaving(const LeavingEngine& engine) = 0;
   /// All engines that are known to be leaving.
   virtual std::vector<LeavingEngine> ListLeavingEngines() const = 0;
+  /// Called with evidence about parts of prompts that may crash engines, for
+  /// the other entries.
+  using CrashEvidenceListener = std::function<void(const CrashEvidence&)>;
+  virtual void SetCrashEvidenceListener(CrashEvidenceListener listener) = 0;
+  /// Adds what another entry found out about crashes of engines.
+  virtual void ApplyCrashEvidence(const CrashEvidence& evidence) = 0;
+  /// Crashes of at most this age, from this and other entries.
+  virtual CrashEvidence ListCrashEvidence(Duration max_age) const = 0;
   /// Checks an engine that another entry suspects to be down. Does nothing if
   /// the engine is not listed.
   virtual void CheckSuspect(const EngineId& engine) = 0;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -54,6 +54,9 @@
     forwarder_->SetLeavingListener([this](const LeavingEngine& engine) {
       peer_exchange_.BroadcastLeaving(engine);
     });
+    forwarder_->SetCrashEvidenceListener([this](const CrashEvidence& evidence) {
+      peer_exchange_.BroadcastCrashEvidence(evidence);
+    });
     mirror_.SetEraListener([this](StoreEra era) { HandleNewEra(era); });
   }
 
@@ -139,6 +142,14 @@
     return forwarder_->ListLeavingEngines();
   }
 
+  void OnCrashEvidence(const CrashEvidence& evidence) override {
+    forwarder_->ApplyCrashEvidence(evidence);
+  }
+
+  CrashEvidence ListCrashEvidence(Duration max_age) const override {
+    return forwarder_->ListCrashEvidence(max_age);
+  }
+
   std::vector<WorkNote> ListLocalWork() const override {
     return forwarder_->ListLocalWork();
   }
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "kingcupdrift/forwarding/forwarder.h"
+#include "kingcupdrift/forwarding/internal/crash_monitor.h"
 #include "kingcupdrift/forwarding/internal/engine_checker.h"
 #include "kingcupdrift/forwarding/internal/wait_queue.h"
 #include "kingcupdrift/forwarding/target_health.h"
@@ -38,7 +39,8 @@
         work_tracker(clock),
         budget(clock, settings_in.budget),
         queue(clock),
-        checker(targets, health, log) {}
+        checker(targets, health, log),
+        crash_monitor(clock, health, log) {}
 
   ForwarderSettings settings;
   Clock& clock;
@@ -53,6 +55,7 @@
   RetryBudgetShare budget;
   WaitQueue queue;
   EngineChecker checker;
+  CrashMonitor crash_monitor;
   // Entries that share the retry budget, this one included.
   std::size_t entry_count = 1;
   std::optional<PlannedStop> stop;
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -99,6 +99,10 @@
     longest_event_gap_ = std::max(longest_event_gap_, now - *last_event_at_);
   }
   last_event_at_ = now;
+  if (attempt_begun_at_ &&
+      now - *attempt_begun_at_ >= CrashMonitor::kProvingTime) {
+    ReportAnswered();
+  }
   sink_->Write(events);
   if (sink_->GetUnsentBytes() > kMaxUnsentBytes && attempt_) {
     attempt_->SetPaused(true);
@@ -151,6 +155,8 @@
       // Paused targets take nothing before their pause ends.
       refusal.retry_after =
           std::max(kRetryAfter, GetCandidateDelay().value_or(Duration::zero()));
+    } else if (type == ForwardRefusalType::kQuarantined) {
+      refusal.retry_after = std::max(kRetryAfter, GetQuarantineLeft());
     }
   }
   sink_->Refuse(refusal);
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -83,6 +83,11 @@
   enum class PlacementResult { kPlaced, kMustWait, kImpossible };
 
   bool Admit();
+  /// Time for which no prompt with one of this prompt's parts may be sent.
+  Duration GetQuarantineLeft() const;
+  void RefuseQuarantined();
+  /// The answer of the present attempt shows that its engine stands the prompt.
+  void ReportAnswered();
   bool TryDispatch();
   PlacementResult Choose(SendPlan& plan);
   PlacementResult ChooseLeastLoaded(
@@ -186,6 +191,8 @@
   // Start of the present or last attempt's stream; absent before its first
   // event.
   std::optional<MonotonicTime> attempt_begun_at_;
+  // `ReportAnswered` was called for the present or last attempt.
+  bool is_attempt_proven_ = false;
   Duration time_to_first_event_{0};
   std::optional<MonotonicTime> last_event_at_;
   Duration longest_event_gap_{0};
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -15,6 +15,7 @@
   EndAttempt();
   switch (result.end) {
     case ForwardAttemptOutcome::kStreamEnded:
+      ReportAnswered();
       sink_->End();
       Finish("completed", "");
       return;
@@ -34,6 +35,7 @@
       }
       if (!has_failed) {
         context_.health.OnSuccess(target);
+        ReportAnswered();
       }
       sink_->Reply(result.response);
       Finish(has_failed ? "target_error" : "completed", "");
@@ -55,12 +57,37 @@
     case ForwardAttemptOutcome::kInterrupted:
       excluded_targets_.insert(target);
       context_.health.OnFailure(target);
+      if (call_.prompt && !is_attempt_proven_) {
+        context_.crash_monitor.OnInterrupted(ended_attempts_.back()->target(),
+                                             call_.prompt->shared_parts);
+      }
       SuspectEngine(target);
       HandleInterrupted(result);
       return;
   }
 }
 
+Duration ForwardRequest::GetQuarantineLeft() const {
+  return call_.prompt ? context_.crash_monitor.GetQuarantineLeft(
+                            call_.prompt->shared_parts)
+                      : Duration::zero();
+}
+
+void ForwardRequest::RefuseQuarantined() {
+  constexpr std::string_view kReason = "a part of the prompt crashes engines";
+  if (has_begun_ || may_have_run_) {
+    AbortOrRefuse(kReason);
+  } else {
+    Refuse(ForwardRefusalType::kQuarantined, kReason);
+  }
+}
+
+void ForwardRequest::ReportAnswered() {
+  if (call_.prompt && !std::exchange(is_attempt_proven_, true)) {
+    context_.crash_monitor.OnAnswered(call_.prompt->shared_parts);
+  }
+}
+
 void ForwardRequest::HandleDeclined(const ForwardAttemptResult& result) {
   const EngineId target = plan_.target.id;
   const EngineId faulty_engine = FindFaultyEngine(result);
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -15,6 +15,10 @@
 }
 
 bool ForwardRequest::TryDispatch() {
+  if (GetQuarantineLeft() > Duration::zero()) {
+    RefuseQuarantined();
+    return true;
+  }
   SendPlan plan;
   switch (Choose(plan)) {
     case PlacementResult::kPlaced:
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -58,7 +58,7 @@
 }
 
 void ForwardRequest::OnReserved(bool is_complete) {
-  if (is_complete && IsPlanValid()) {
+  if (is_complete && IsPlanValid() && GetQuarantineLeft() == Duration::zero()) {
     Send();
     return;
   }
@@ -105,6 +105,7 @@
   const AttemptTimeouts timeouts = ChooseTimeouts(plan);
   ++sends_;
   attempt_begun_at_.reset();
+  is_attempt_proven_ = false;
   context_.log.Add("forward", "send")
       .Text("request", call_.id.value())
       .Text("route", route_->name)
--- a/src/kingcupdrift/forwarding/peer_state_exchange.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.cc
@@ -3,6 +3,8 @@
 #include <utility>
 #include <variant>
 
+#include "kingcupdrift/forwarding/prompt_part_quarantine.h"
+
 namespace kingcupdrift {
 namespace {
 
@@ -117,6 +119,15 @@
   FlushSoon();
 }
 
+void PeerStateExchange::BroadcastCrashEvidence(const CrashEvidence& evidence) {
+  CrashEvidence& pending = pending_crash_evidence_;
+  pending.crashes.insert(pending.crashes.end(), evidence.crashes.begin(),
+                         evidence.crashes.end());
+  pending.successes.insert(pending.successes.end(), evidence.successes.begin(),
+                           evidence.successes.end());
+  FlushSoon();
+}
+
 void PeerStateExchange::BroadcastStoreChanges() {
   FlushSoon();
 }
@@ -146,8 +157,14 @@
   WorkNotesMessage message = MakeStateMessage();
   message.leaving_engines = std::exchange(pending_leaving_, {});
   message.store_changes = observer_.TakeStoreChanges();
-  const bool has_news =
-      !message.leaving_engines.empty() || message.store_changes.has_value();
+  message.crash_evidence = std::exchange(pending_crash_evidence_, {});
+  if (is_heartbeat) {
+    message.crash_evidence.crashes =
+        observer_.ListCrashEvidence(kCrashRepeatTime).crashes;
+  }
+  const bool has_news = !message.leaving_engines.empty() ||
+                        message.store_changes.has_value() ||
+                        !message.crash_evidence.empty();
   if (is_serving_ && (is_heartbeat || has_news)) {
     for (const auto& [id, peer] : peers_) {
       if (!peer.is_serving) {
@@ -253,6 +270,9 @@
   for (const LeavingEngine& it : message.leaving_engines) {
     observer_.OnLeavingReported(it);
   }
+  if (!message.crash_evidence.empty()) {
+    observer_.OnCrashEvidence(message.crash_evidence);
+  }
   peer.is_leaving = message.is_leaving;
   peer.has_store = message.has_store;
   peer.requests_per_second = message.requests_per_second;
@@ -273,6 +293,8 @@
   message.is_complete = true;
   message.notes = observer_.ListLocalWork();
   message.leaving_engines = observer_.ListLeavingEngines();
+  message.crash_evidence =
+      observer_.ListCrashEvidence(PromptPartQuarantine::kQuarantineTime);
   Send(peer.record.peer_endpoint, std::move(message));
 }
 
--- a/src/kingcupdrift/forwarding/peer_state_exchange.h
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.h
@@ -38,6 +38,9 @@
   virtual void OnLeavingReported(const LeavingEngine& engine) = 0;
   /// All engines that are known to be leaving.
   virtual std::vector<LeavingEngine> ListLeavingEngines() const = 0;
+  virtual void OnCrashEvidence(const CrashEvidence& evidence) = 0;
+  /// Crashes of engines of at most this age, from this and other entries.
+  virtual CrashEvidence ListCrashEvidence(Duration max_age) const = 0;
   /// All work that this entry has at engines now.
   virtual std::vector<WorkNote> ListLocalWork() const = 0;
   /// All work received from `entry` is outdated. Called when the entry is no
@@ -113,6 +116,9 @@
   /// Reports to all peers, or from the reserve to the serving group, that the
   /// engine is leaving, batched like `BroadcastWork`.
   void BroadcastLeaving(const LeavingEngine& engine);
+  /// Sends the evidence to the same peers, batched like `BroadcastWork`.
+  /// Crashes are sent again with heartbeats for `kCrashRepeatTime`.
+  void BroadcastCrashEvidence(const CrashEvidence& evidence);
   /// Sends the result of `TakeStoreChanges` to the same peers, batched like
   /// `BroadcastWork`.
   void BroadcastStoreChanges();
@@ -134,6 +140,8 @@
   /// than half of a group may be one of many that are cut off, and counts all.
   std::size_t CountLimitShares() const;
 
+  /// Covers messages that are lost, and a change of the serving group.
+  static constexpr Duration kCrashRepeatTime = std::chrono::seconds(3);
   /// A batch is sent this long after its first note. Short, so that the other
   /// entries get the note before they choose the same engine.
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(1);
@@ -229,6 +237,7 @@
   std::vector<WorkNote> pending_notes_;
   std::vector<EngineId> pending_suspects_;
   std::vector<LeavingEngine> pending_leaving_;
+  CrashEvidence pending_crash_evidence_;
   // Time since which a peer has been ahead of the local copy of the store.
   std::optional<MonotonicTime> behind_since_;
   std::unique_ptr<Timer> check_timer_;
--- a/src/kingcupdrift/interfaces/forward_sink.h
+++ b/src/kingcupdrift/interfaces/forward_sink.h
@@ -34,6 +34,9 @@
   kTargetFailed,
   /// Targets failed or refused the request, and it has certainly not run.
   kTargetDeclined,
+  /// A part of the prompt crashed engines lately, and this request was not
+  /// sent.
+  kQuarantined,
 };
 
 /// "not_ready", "no_route" and so on; stable names for logs and metrics.
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/crash_evidence.h"
 
 namespace kingcupdrift {
 
@@ -174,6 +175,9 @@
   /// Engines that told the sender that they are leaving; with `is_complete`,
   /// all that it knows of.
   std::vector<LeavingEngine> leaving_engines;
+  /// With `is_complete` all that the sender knows, else what is new or may have
+  /// been lost on its way.
+  CrashEvidence crash_evidence;
   /// `notes` lists all of the sender's work in progress.
   bool is_complete = false;
   /// Asks the receiver for a message with `is_complete`.
--- /dev/null
+++ b/src/kingcupdrift/net/internal/crash_evidence_codec.h
@@ -0,0 +1,25 @@
+#ifndef KINGCUPDRIFT_NET_INTERNAL_CRASH_EVIDENCE_CODEC_H_
+#define KINGCUPDRIFT_NET_INTERNAL_CRASH_EVIDENCE_CODEC_H_
+
+#include "kingcupdrift/interfaces/interfaces.h"
+#include "peer_generated.h"
+
+namespace kingcupdrift {
+
+using WireCrashes = flatbuffers::Vector<flatbuffers::Offset<wire::EngineCrash>>;
+using WirePartSuccesses =
+    flatbuffers::Vector<flatbuffers::Offset<wire::PromptPartSuccess>>;
+
+flatbuffers::Offset<WireCrashes> EncodeCrashes(
+    flatbuffers::FlatBufferBuilder& builder,
+    const std::vector<EngineCrash>& crashes);
+flatbuffers::Offset<WirePartSuccesses> EncodePartSuccesses(
+    flatbuffers::FlatBufferBuilder& builder,
+    const std::vector<PromptPartSuccess>& successes);
+
+/// kProtocol: a list is too long or an age is negative.
+Result<CrashEvidence> DecodeCrashEvidence(const wire::WorkNotes& table);
+
+}  // namespace kingcupdrift
+
+#endif  // KINGCUPDRIFT_NET_INTERNAL_CRASH_EVIDENCE_CODEC_H_
--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "kingcupdrift/net/internal/crash_evidence_codec.h"
 #include "kingcupdrift/net/internal/frame_checks.h"
 #include "kingcupdrift/net/internal/peer_codec.h"
 
@@ -150,7 +151,9 @@
       message.is_complete, message.wants_complete,
       EncodeEngines(builder, message.suspects),
       message.store_position.era.value(), builder.CreateVector(leaving),
-      changes, message.requests_per_second);
+      changes, message.requests_per_second,
+      EncodeCrashes(builder, message.crash_evidence.crashes),
+      EncodePartSuccesses(builder, message.crash_evidence.successes));
   return table;
 }
 
@@ -181,6 +184,11 @@
           {EngineId(it->engine()->str()), Incarnation(it->incarnation())});
     }
   }
+  Result<CrashEvidence> evidence = DecodeCrashEvidence(table);
+  if (!evidence) {
+    return tl::unexpected(evidence.error());
+  }
+  message.crash_evidence = *std::move(evidence);
   if (table.store_changes() != nullptr) {
     Result<StoreStateReplyMessage> changes =
         DecodeStateReply(*table.store_changes());
--- a/tests/forwarding/crashing_prompts_harness.cc
+++ b/tests/forwarding/crashing_prompts_harness.cc
@@ -15,9 +15,9 @@
 
 }  // namespace
 
-CrashingPromptsHarness::CrashingPromptsHarness(int entries, int engines)
-    : GatewayHarness(entries) {
-  for (int i = 0; i < engines; ++i) {
+CrashingPromptsHarness::CrashingPromptsHarness(int entries, Duration peer_delay)
+    : GatewayHarness(entries, peer_delay) {
+  for (int i = 0; i < kEngines; ++i) {
     AddEngine();
   }
   Steps(4);
@@ -97,6 +97,10 @@
 void CrashingPromptsHarness::Step() {
   ++step_;
   for (const auto& node : nodes) {
+    // A killed entry's connections are closed.
+    if (!node->is_running) {
+      continue;
+    }
     const auto sends = node->targets.sends;
     for (const auto& it : sends) {
       if (it->observer != nullptr) {
--- a/tests/forwarding/crashing_prompts_harness.h
+++ b/tests/forwarding/crashing_prompts_harness.h
@@ -15,7 +15,10 @@
 /// prompt with a crashing part, and is back after a while as another one.
 class CrashingPromptsHarness : public GatewayHarness {
  public:
-  explicit CrashingPromptsHarness(int entries, int engines = 24);
+  /// `peer_delay` is that of each message between entries.
+  explicit CrashingPromptsHarness(
+      int entries,
+      Duration peer_delay = std::chrono::milliseconds(1));
 
   /// Sends a prompt with these shared parts to the entry `node`.
   std::shared_ptr<CallerRecord> Ask(std::size_t node,
@@ -35,6 +38,7 @@
   std::set<PromptPartId> crashing_parts;
 
   static constexpr Duration kStep = std::chrono::milliseconds(50);
+  static constexpr int kEngines = 24;
   /// Steps in which a crashed engine is away.
   static constexpr int kRestartSteps = 40;
 
--- a/tests/forwarding/crashing_prompts_test.cc
+++ b/tests/forwarding/crashing_prompts_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include "kingcupdrift/forwarding/prompt_part_quarantine.h"
 #include "tests/forwarding/crashing_prompts_harness.h"
 
 namespace kingcupdrift::fakes {
@@ -81,5 +82,88 @@
   }
 }
 
+// Guards against evidence that is lost with the entry that has it, and against
+// new entries that know nothing of a quarantine.
+TEST_CASE("entries that restart still hold back prompts that crash engines") {
+  CrashingPromptsHarness harness(6);
+  harness.crashing_parts = {PromptPartId("bad")};
+  PlayCrashingPrompts(harness, 80);
+  const int sends = harness.CountCrashingSends();
+  REQUIRE(sends > 0);
+  for (std::size_t i = 0; i < 6; ++i) {
+    harness.nodes[i]->Kill();
+    harness.nodes.push_back(std::make_unique<GatewayNode>(
+        static_cast<int>(i) + 1, "restarted-", harness.clock, harness.random,
+        harness.model, harness.network, harness.decoder));
+    harness.nodes.back()->gateway->Start();
+    // As the operators count, an entry is out of touch for this long.
+    harness.Steps(
+        static_cast<int>(kReactionTime / CrashingPromptsHarness::kStep));
+    harness.Ask(harness.nodes.size() - 1, {"common", "bad"});
+    const auto sound = harness.Ask(harness.nodes.size() - 1, {"common"});
+    harness.Steps(30);
+    CHECK(sound->has_ended);
+  }
+  CHECK(harness.CountCrashingSends() == sends);
+}
+
+// Guards against messages between entries that arrive late.
+TEST_CASE("entries that hear each other late hold crashing prompts back") {
+  for (const int delay_ms : {100, 400, 700}) {
+    CAPTURE(delay_ms);
+    CrashingPromptsHarness harness(6, std::chrono::milliseconds(delay_ms));
+    harness.crashing_parts = {PromptPartId("bad")};
+    const Outcome outcome = PlayCrashingPrompts(harness, 160);
+    CHECK(outcome.sends_after_reaction <= kMaxLateSends);
+    CHECK(outcome.sound_answered * 10 >= outcome.sound * 8);
+  }
+}
+
+// Guards against a quarantine of parts that happened to be at many engines that
+// failed for another reason.
+TEST_CASE("no prompt is held back when many engines fail at once") {
+  for (int round = 0; round < 20; ++round) {
+    CrashingPromptsHarness harness(6);
+    std::vector<std::shared_ptr<CallerRecord>> sound;
+    const auto ask_all = [&] {
+      for (std::size_t node = 0; node < harness.size(); ++node) {
+        sound.push_back(harness.Ask(node, {"common"}));
+        sound.push_back(
+            harness.Ask(node, {"common", "rare-" + std::to_string(node)}));
+      }
+    };
+    for (int i = 0; i < 30; ++i) {
+      ask_all();
+      harness.Steps(round % 3 + 1);
+    }
+    for (int i = 0; i < CrashingPromptsHarness::kEngines / 2; ++i) {
+      harness.Crash(harness.ListEngines().front());
+    }
+    for (int i = 0; i < 30; ++i) {
+      ask_all();
+      harness.Steps(1);
+    }
+    for (const auto& it : sound) {
+      REQUIRE_FALSE((it->refusal &&
+                     it->refusal->type == ForwardRefusalType::kQuarantined));
+    }
+  }
+}
+
+TEST_CASE(
+    "a held back prompt is refused as not run, for the time that is left") {
+  CrashingPromptsHarness harness(1);
+  harness.crashing_parts = {PromptPartId("bad")};
+  PlayCrashingPrompts(harness, 40);
+  const auto refused = harness.Ask(0, {"common", "bad"});
+  REQUIRE(refused->refusal);
+  CHECK(refused->refusal->type == ForwardRefusalType::kQuarantined);
+  CHECK(GuaranteesNotRun(refused->refusal->type));
+  CHECK(refused->refusal->retry_after > std::chrono::minutes(9));
+  CHECK(refused->refusal->retry_after <= PromptPartQuarantine::kQuarantineTime);
+  CHECK(harness.nodes[0]->Metric("kingcupdrift_prompt_parts_quarantined") ==
+        "1");
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -75,12 +75,12 @@
 std::unique_ptr<TargetCall> FakeTargetClient::Send(const EngineAddress& target,
                                                    const TargetRequest& request,
                                                    TargetObserver& observer) {
-  auto send = std::make_shared<TargetSend>(TargetSend{
-      target, request.call->id, request.workspace, request.time_left,
-      request.last_event_id, request.helpers,
-      request.call->prompt ? request.call->prompt->shared_parts
-                           : std::vector<PromptPartId>(),
-      &observer});
+  auto send = std::make_shared<TargetSend>(
+      TargetSend{target, request.call->id, request.workspace, request.time_left,
+                 request.last_event_id, request.helpers,
+                 request.call->prompt ? request.call->prompt->shared_parts
+                                      : std::vector<PromptPartId>(),
+                 &observer});
   sends.push_back(send);
   return std::make_unique<FakeTargetCall>(send);
 }
--- a/tests/forwarding/gateway_harness.cc
+++ b/tests/forwarding/gateway_harness.cc
@@ -112,7 +112,8 @@
   link.Close();
 }
 
-GatewayHarness::GatewayHarness(int count) {
+GatewayHarness::GatewayHarness(int count, Duration peer_delay)
+    : network(peer_delay, clock) {
   model.SetEra(StoreEra(1));
   Put("config", "1 old kept");
   Put("targets/t1", "ready 7");
--- a/tests/forwarding/gateway_harness.h
+++ b/tests/forwarding/gateway_harness.h
@@ -57,7 +57,8 @@
 /// Entries around one store that holds a configuration with the keys "old" and
 /// "kept", and one target "t1".
 struct GatewayHarness {
-  explicit GatewayHarness(int count = 3);
+  explicit GatewayHarness(int count = 3,
+                          Duration peer_delay = std::chrono::milliseconds(1));
 
   /// Starts entries at the first `count` addresses.
   void AddNodes(int count, const std::string& name);
@@ -70,7 +71,7 @@
   ManualClock clock;
   SeededRandom random{1};
   StoreModel model{clock};
-  FakePeerNetwork network{std::chrono::milliseconds(1), clock};
+  FakePeerNetwork network;
   TextDecoder decoder;
   std::vector<std::unique_ptr<GatewayNode>> nodes;
 };
--- a/tests/forwarding/peer_exchange_harness.h
+++ b/tests/forwarding/peer_exchange_harness.h
@@ -96,6 +96,18 @@
   std::vector<LeavingEngine> ListLeavingEngines() const override {
     return known_leaving;
   }
+  void OnCrashEvidence(const CrashEvidence& evidence) override {
+    received_evidence.push_back(evidence);
+  }
+  CrashEvidence ListCrashEvidence(Duration max_age) const override {
+    CrashEvidence listed;
+    for (const EngineCrash& it : known_crashes) {
+      if (it.age <= max_age) {
+        listed.crashes.push_back(it);
+      }
+    }
+    return listed;
+  }
   std::vector<WorkNote> ListLocalWork() const override { return local_work; }
   void OnPeerWorkReset(const InstanceId& entry) override {
     reset_peers.push_back(entry);
@@ -134,6 +146,8 @@
   std::vector<EngineId> suspects;
   std::vector<LeavingEngine> leaving;
   std::vector<LeavingEngine> known_leaving;
+  std::vector<CrashEvidence> received_evidence;
+  std::vector<EngineCrash> known_crashes;
   std::optional<StoreStateReplyMessage> changes;
   std::vector<ReaderCandidate> recent_peers;
   LocalEntryState state{{StoreEra(0), StoreVersion(10)}, true, false};
--- a/tests/forwarding/peer_state_exchange_test.cc
+++ b/tests/forwarding/peer_state_exchange_test.cc
@@ -51,6 +51,31 @@
   CHECK(harness.two.suspects.size() == 1);
 }
 
+TEST_CASE("evidence of crashes comes at once, with heartbeats and complete") {
+  PeerExchangeHarness harness;
+  const EngineCrash fresh{
+      EngineId("fresh"), {}, Duration::zero(), {{PromptPartId("part"), 0}}};
+  EngineCrash old = fresh;
+  old.engine = EngineId("old");
+  old.age = PeerStateExchange::kCrashRepeatTime + milliseconds(1);
+  harness.one.known_crashes = {fresh, old};
+  harness.one.peer_exchange.BroadcastCrashEvidence({{fresh}, {}});
+  harness.clock.Advance(milliseconds(5));
+  REQUIRE(harness.two.received_evidence.size() == 1);
+  CHECK(harness.two.received_evidence[0].crashes[0].engine == fresh.engine);
+  harness.clock.Advance(PeerStateExchange::kHeartbeatInterval);
+  REQUIRE(harness.two.received_evidence.size() == 2);
+  CHECK(harness.two.received_evidence[1].crashes.size() == 1);
+  // An entry that starts is sent all that is known.
+  TestEntry three(harness.network, harness.clock, 3);
+  three.AddPeer(1);
+  harness.one.AddPeer(3);
+  three.peer_exchange.Start();
+  harness.clock.Advance(milliseconds(50));
+  REQUIRE_FALSE(three.received_evidence.empty());
+  CHECK(three.received_evidence[0].crashes.size() == 2);
+}
+
 TEST_CASE("a new entry receives the complete work of the others") {
   PeerExchangeHarness harness;
   harness.one.local_work = {Note("a"), Note("b")};
--- a/tests/net/forwarding_codec_test.cc
+++ b/tests/net/forwarding_codec_test.cc
@@ -55,6 +55,35 @@
   CHECK(note.part_prefill_time == std::chrono::milliseconds(700));
 }
 
+TEST_CASE("evidence of crashes survives encoding and decoding") {
+  PeerMessage message = MakeWorkNotes();
+  CrashEvidence& sent =
+      std::get<WorkNotesMessage>(message.payload).crash_evidence;
+  sent.crashes = {{EngineId("e"),
+                   Incarnation(7),
+                   std::chrono::milliseconds(30),
+                   {{PromptPartId("5c"), 0}, {PromptPartId("91"), 3}}}};
+  sent.successes = {{PromptPartId("5c"), std::chrono::milliseconds(40)}};
+  auto frame = DecodePeerFrame(EncodePeerMessage(message));
+  REQUIRE(frame);
+  REQUIRE(*frame);
+  const CrashEvidence& evidence =
+      std::get<WorkNotesMessage>((*frame)->payload).crash_evidence;
+  REQUIRE(evidence.crashes.size() == 1);
+  CHECK(evidence.crashes[0].engine == EngineId("e"));
+  CHECK(evidence.crashes[0].incarnation == Incarnation(7));
+  CHECK(evidence.crashes[0].age == std::chrono::milliseconds(30));
+  CHECK(evidence.crashes[0].suspects == sent.crashes[0].suspects);
+  REQUIRE(evidence.successes.size() == 1);
+  CHECK(evidence.successes[0].part == PromptPartId("5c"));
+  CHECK(evidence.successes[0].age == std::chrono::milliseconds(40));
+  sent.successes[0].age = Duration(-1);
+  CHECK_FALSE(DecodePeerFrame(EncodePeerMessage(message)));
+  sent.successes.clear();
+  sent.crashes[0].age = Duration(-1);
+  CHECK_FALSE(DecodePeerFrame(EncodePeerMessage(message)));
+}
+
 TEST_CASE("a frame with too many suspects is refused") {
   PeerMessage message = MakeWorkNotes();
   std::get<WorkNotesMessage>(message.payload)
