Decode and log the limits that engines name

Cause: no line or metric shows that an engine named a limit of its requests, so that the logs cannot tell whether entries do not read it or apply it each alone. Change: a limit in an engine's answer is decoded, kept and logged when it changes, and counted in a metric. An answer to a request without one ends it. No decision changes.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -1,5 +1,7 @@
 #include "kingcupdrift/forwarding/forwarder.h"
 
+#include <fmt/format.h>
+
 #include <map>
 #include <string>
 #include <utility>
@@ -91,6 +93,10 @@
       LogLeaving(leaving, "engine");
       leaving_listener_(leaving);
     }
+    if (notice.tells_limit && IsListed(engine)) {
+      HandleLimit({engine.id, engine.incarnation, notice.requests_per_second,
+                   Duration::zero()});
+    }
     if (notice.pause > Duration::zero() && IsListed(engine)) {
       context_.health.Pause(engine.id, notice.pause);
       ++pauses_;
@@ -101,6 +107,17 @@
     }
   }
 
+  void HandleLimit(const EngineLimit& limit) {
+    if (!context_.rate_limiter.Update(limit)) {
+      return;
+    }
+    context_.log.Add("forward", "limit")
+        .Text("target", limit.engine.value())
+        .Text("per_second", limit.requests_per_second
+                                ? fmt::format("{}", *limit.requests_per_second)
+                                : "none");
+  }
+
   void RemoveTarget(const EngineId& id, bool is_confirmed) override {
     context_.log.Add("forward", "target")
         .Text("target", id.value())
@@ -191,6 +208,8 @@
     add_gauge("kingcupdrift_targets_leaving",
               context_.directory.ListLeaving().size());
     add_gauge("kingcupdrift_targets_paused", context_.health.CountPaused());
+    add_gauge("kingcupdrift_targets_limited",
+              context_.rate_limiter.CountLimited());
     add_gauge("kingcupdrift_prompt_parts_quarantined",
               context_.crash_monitor.CountQuarantined());
     const auto add_counter = [&out](const std::string& name,
@@ -230,6 +249,7 @@
     if (listed != nullptr &&
         listed->address.incarnation < record.address.incarnation) {
       context_.health.Forget(record.address.id);
+      context_.rate_limiter.Forget(record.address.id);
     }
   }
 
--- a/src/kingcupdrift/forwarding/forwarding.h
+++ b/src/kingcupdrift/forwarding/forwarding.h
@@ -10,12 +10,13 @@
 #include "kingcupdrift/forwarding/gateway.h"              // IWYU pragma: export
 #include "kingcupdrift/forwarding/peer_state_exchange.h"  // IWYU pragma: export
 #include "kingcupdrift/forwarding/prompt_part_quarantine.h"  // IWYU pragma: export
-#include "kingcupdrift/forwarding/retry_budget_share.h"  // IWYU pragma: export
-#include "kingcupdrift/forwarding/route_table.h"         // IWYU pragma: export
-#include "kingcupdrift/forwarding/serving_config.h"      // IWYU pragma: export
-#include "kingcupdrift/forwarding/sse_framer.h"          // IWYU pragma: export
-#include "kingcupdrift/forwarding/state_decoder.h"       // IWYU pragma: export
-#include "kingcupdrift/forwarding/target_directory.h"    // IWYU pragma: export
-#include "kingcupdrift/forwarding/target_health.h"       // IWYU pragma: export
+#include "kingcupdrift/forwarding/retry_budget_share.h"   // IWYU pragma: export
+#include "kingcupdrift/forwarding/route_table.h"          // IWYU pragma: export
+#include "kingcupdrift/forwarding/serving_config.h"       // IWYU pragma: export
+#include "kingcupdrift/forwarding/sse_framer.h"           // IWYU pragma: export
+#include "kingcupdrift/forwarding/state_decoder.h"        // IWYU pragma: export
+#include "kingcupdrift/forwarding/target_directory.h"     // IWYU pragma: export
+#include "kingcupdrift/forwarding/target_health.h"        // IWYU pragma: export
+#include "kingcupdrift/forwarding/target_rate_limiter.h"  // IWYU pragma: export
 
 #endif  // KINGCUPDRIFT_FORWARDING_FORWARDING_H_
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -14,6 +14,7 @@
 #include "kingcupdrift/forwarding/internal/engine_checker.h"
 #include "kingcupdrift/forwarding/internal/wait_queue.h"
 #include "kingcupdrift/forwarding/target_health.h"
+#include "kingcupdrift/forwarding/target_rate_limiter.h"
 #include "kingcupdrift/routing/routing.h"
 
 namespace kingcupdrift {
@@ -36,6 +37,7 @@
         log(dependencies.log),
         directory(clock),
         health(clock),
+        rate_limiter(clock, settings_in.instance),
         work_tracker(clock),
         budget(clock, settings_in.budget),
         queue(clock),
@@ -51,6 +53,7 @@
   std::shared_ptr<const RouteTable> table;
   TargetDirectory directory;
   TargetHealth health;
+  TargetRateLimiter rate_limiter;
   WorkTracker work_tracker;
   RetryBudgetShare budget;
   WaitQueue queue;
--- a/src/kingcupdrift/interfaces/interfaces.h
+++ b/src/kingcupdrift/interfaces/interfaces.h
@@ -9,6 +9,7 @@
 #include "kingcupdrift/interfaces/caller_sink.h"     // IWYU pragma: export
 #include "kingcupdrift/interfaces/crash_evidence.h"  // IWYU pragma: export
 #include "kingcupdrift/interfaces/engine_client.h"   // IWYU pragma: export
+#include "kingcupdrift/interfaces/engine_limit.h"    // IWYU pragma: export
 #include "kingcupdrift/interfaces/forward_call.h"    // IWYU pragma: export
 #include "kingcupdrift/interfaces/forward_sink.h"    // IWYU pragma: export
 #include "kingcupdrift/interfaces/instance_list.h"   // IWYU pragma: export
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -55,6 +55,11 @@
   /// The engine wants no calls from this process for this long; zero without
   /// such a wish.
   Duration pause{0};
+  /// The answer tells whether the engine has a limit.
+  bool tells_limit = false;
+  /// Requests a second that the engine takes from all callers together; absent
+  /// without a limit.
+  std::optional<double> requests_per_second = std::nullopt;
 };
 
 /// Receives the notices of engines.
--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -194,5 +194,28 @@
   CHECK(pause(503, "inf") == std::chrono::hours(24));
 }
 
+TEST_CASE("an engine's limit is decoded, and ends with an answer without it") {
+  const auto notice = [](const std::string& value) {
+    return DecodeNotice(200, {{"Request-Id", "9c"}, {"Server-Limit", value}},
+                        AnswerKind::kRequest);
+  };
+  CHECK(notice("1.4").tells_limit);
+  CHECK(notice("1.4").requests_per_second == 1.4);
+  CHECK(notice("0").requests_per_second == 0.0);
+  for (const char* const it : {"-1", "nan", "inf", "many", "2/s"}) {
+    CHECK_FALSE(notice(it).tells_limit);
+    CHECK_FALSE(notice(it).requests_per_second);
+  }
+  const HeaderList plain = {{"Request-Id", "9c"}};
+  CHECK(DecodeNotice(200, plain, AnswerKind::kRequest).tells_limit);
+  CHECK_FALSE(DecodeNotice(200, {}, AnswerKind::kRequest).tells_limit);
+  CHECK_FALSE(DecodeNotice(200, plain, AnswerKind::kControl).tells_limit);
+  CHECK(DecodeNotice(200, {{"Server-Limit", "2"}}, AnswerKind::kControl)
+            .requests_per_second == 2.0);
+  // Another engine has the address now.
+  CHECK_FALSE(DecodeNotice(421, {{"Server-Limit", "2"}}, AnswerKind::kRequest)
+                  .tells_limit);
+}
+
 }  // namespace
 }  // namespace kingcupdrift::platform
