--- a/tests/forwarding/crashing_prompts_test.cc
+++ b/tests/forwarding/crashing_prompts_test.cc
@@ -4,7 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "kingcupdrift/forwarding/prompt_part_quarantine.h"
-#include "tests/forwarding/crashing_prompts_harness.h"
+#include "tests/forwarding/model_engines_harness.h"
 
 namespace kingcupdrift::fakes {
 namespace {
@@ -23,7 +23,7 @@
 
 /// Every 0.1 s one entry gets a prompt with a crashing part, and all get a
 /// sound one that shares its first part.
-Outcome PlayCrashingPrompts(CrashingPromptsHarness& harness, int steps) {
+Outcome PlayCrashingPrompts(ModelEnginesHarness& harness, int steps) {
   Outcome outcome;
   std::vector<std::shared_ptr<CallerRecord>> sound;
   std::optional<int> reaction_end;
@@ -45,7 +45,7 @@
     harness.Step();
     if (!reaction_end && harness.crashes() >= kCountedCrashes) {
       reaction_end =
-          i + static_cast<int>(kReactionTime / CrashingPromptsHarness::kStep);
+          i + static_cast<int>(kReactionTime / ModelEnginesHarness::kStep);
     }
     if (!sends_before && reaction_end && i >= *reaction_end) {
       sends_before = harness.CountCrashingSends();
@@ -63,7 +63,7 @@
 }
 
 TEST_CASE("prompts are answered while no part crashes engines") {
-  CrashingPromptsHarness harness(6);
+  ModelEnginesHarness harness(6);
   const Outcome outcome = PlayCrashingPrompts(harness, 40);
   CHECK(harness.crashes() == 0);
   CHECK(outcome.sound_answered == outcome.sound);
@@ -74,7 +74,7 @@
 TEST_CASE("prompts with a part that crashes engines stop reaching them") {
   for (const int entries : {1, 6, 20}) {
     CAPTURE(entries);
-    CrashingPromptsHarness harness(entries);
+    ModelEnginesHarness harness(entries);
     harness.crashing_parts = {PromptPartId("bad")};
     const Outcome outcome = PlayCrashingPrompts(harness, 160);
     CHECK(outcome.sends_after_reaction <= kMaxLateSends);
@@ -85,7 +85,7 @@
 // Guards against evidence that is lost with the entry that has it, and against
 // new entries that know nothing of a quarantine.
 TEST_CASE("entries that restart still hold back prompts that crash engines") {
-  CrashingPromptsHarness harness(6);
+  ModelEnginesHarness harness(6);
   harness.crashing_parts = {PromptPartId("bad")};
   PlayCrashingPrompts(harness, 80);
   const int sends = harness.CountCrashingSends();
@@ -97,8 +97,7 @@
         harness.model, harness.network, harness.decoder));
     harness.nodes.back()->gateway->Start();
     // As the operators count, an entry is out of touch for this long.
-    harness.Steps(
-        static_cast<int>(kReactionTime / CrashingPromptsHarness::kStep));
+    harness.Steps(static_cast<int>(kReactionTime / ModelEnginesHarness::kStep));
     harness.Ask(harness.nodes.size() - 1, {"common", "bad"});
     const auto sound = harness.Ask(harness.nodes.size() - 1, {"common"});
     harness.Steps(30);
@@ -111,7 +110,7 @@
 TEST_CASE("entries that hear each other late hold crashing prompts back") {
   for (const int delay_ms : {100, 400, 700}) {
     CAPTURE(delay_ms);
-    CrashingPromptsHarness harness(6, std::chrono::milliseconds(delay_ms));
+    ModelEnginesHarness harness(6, std::chrono::milliseconds(delay_ms));
     harness.crashing_parts = {PromptPartId("bad")};
     const Outcome outcome = PlayCrashingPrompts(harness, 160);
     CHECK(outcome.sends_after_reaction <= kMaxLateSends);
@@ -123,7 +122,7 @@
 // failed for another reason.
 TEST_CASE("no prompt is held back when many engines fail at once") {
   for (int round = 0; round < 20; ++round) {
-    CrashingPromptsHarness harness(6);
+    ModelEnginesHarness harness(6);
     std::vector<std::shared_ptr<CallerRecord>> sound;
     const auto ask_all = [&] {
       for (std::size_t node = 0; node < harness.size(); ++node) {
@@ -136,7 +135,7 @@
       ask_all();
       harness.Steps(round % 3 + 1);
     }
-    for (int i = 0; i < CrashingPromptsHarness::kEngines / 2; ++i) {
+    for (int i = 0; i < ModelEnginesHarness::kEngines / 2; ++i) {
       harness.Crash(harness.ListEngines().front());
     }
     for (int i = 0; i < 30; ++i) {
@@ -152,7 +151,7 @@
 
 TEST_CASE(
     "a held back prompt is refused as not run, for the time that is left") {
-  CrashingPromptsHarness harness(1);
+  ModelEnginesHarness harness(1);
   harness.crashing_parts = {PromptPartId("bad")};
   PlayCrashingPrompts(harness, 40);
   const auto refused = harness.Ask(0, {"common", "bad"});
--- a/tests/forwarding/crashing_prompts_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -1,4 +1,4 @@
-#include "tests/forwarding/crashing_prompts_harness.h"
+#include "tests/forwarding/model_engines_harness.h"
 
 #include <algorithm>
 
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-CrashingPromptsHarness::CrashingPromptsHarness(int entries, Duration peer_delay)
+ModelEnginesHarness::ModelEnginesHarness(int entries, Duration peer_delay)
     : GatewayHarness(entries, peer_delay) {
   for (int i = 0; i < kEngines; ++i) {
     AddEngine();
@@ -23,17 +23,17 @@
   Steps(4);
 }
 
-void CrashingPromptsHarness::AddEngine() {
+void ModelEnginesHarness::AddEngine() {
   const EngineId id("engine-" + std::to_string(next_engine_++));
   engines_.insert(id);
   Put(KeyOf(id), "ready 1 model");
 }
 
-std::vector<EngineId> CrashingPromptsHarness::ListEngines() const {
+std::vector<EngineId> ModelEnginesHarness::ListEngines() const {
   return {engines_.begin(), engines_.end()};
 }
 
-std::shared_ptr<CallerRecord> CrashingPromptsHarness::Ask(
+std::shared_ptr<CallerRecord> ModelEnginesHarness::Ask(
     std::size_t node,
     const std::vector<std::string>& parts) {
   ForwardCall call = ForwardingHarness::Prompt(kPromptTokens);
@@ -47,7 +47,7 @@
   return record;
 }
 
-void CrashingPromptsHarness::Crash(const EngineId& engine) {
+void ModelEnginesHarness::Crash(const EngineId& engine) {
   if (engines_.erase(engine) == 0) {
     return;
   }
@@ -66,7 +66,7 @@
   Delete(KeyOf(engine));
 }
 
-void CrashingPromptsHarness::AnswerSend(TargetSend& send) {
+void ModelEnginesHarness::AnswerSend(GatewayNode& node, TargetSend& send) {
   if (!engines_.contains(send.target.id)) {
     send.observer->OnFailed({ErrorCode::kUnavailable, "refused"});
     return;
@@ -80,6 +80,12 @@
   }
   const int event = ++events_[send.request];
   if (event == 1 || send.last_event_id) {
+    EngineNotice notice;
+    notice.tells_limit = true;
+    if (const auto it = limits.find(send.target.id); it != limits.end()) {
+      notice.requests_per_second = it->second;
+    }
+    node.targets.notices->OnEngineNotice(send.target, notice);
     TargetResponseHead head;
     head.status = 200;
     head.request = send.request;
@@ -94,8 +100,14 @@
   }
 }
 
-void CrashingPromptsHarness::Step() {
+void ModelEnginesHarness::Step() {
   ++step_;
+  for (const auto& node : nodes) {
+    std::size_t& counted = counted_sends_[node.get()];
+    for (; counted < node->targets.sends.size(); ++counted) {
+      arrivals_[node->targets.sends[counted]->target.id].push_back(step_);
+    }
+  }
   for (const auto& node : nodes) {
     // A killed entry's connections are closed.
     if (!node->is_running) {
@@ -104,7 +116,7 @@
     const auto sends = node->targets.sends;
     for (const auto& it : sends) {
       if (it->observer != nullptr) {
-        AnswerSend(*it);
+        AnswerSend(*node, *it);
       }
     }
     node->targets.AnswerPendingCalls();
@@ -120,13 +132,13 @@
   }
 }
 
-void CrashingPromptsHarness::Steps(int count) {
+void ModelEnginesHarness::Steps(int count) {
   for (int i = 0; i < count; ++i) {
     Step();
   }
 }
 
-int CrashingPromptsHarness::CountCrashingSends() const {
+int ModelEnginesHarness::CountCrashingSends() const {
   int n = 0;
   for (const auto& node : nodes) {
     for (const auto& it : node->targets.sends) {
--- a/tests/forwarding/crashing_prompts_harness.h
+++ b/tests/forwarding/model_engines_harness.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_FORWARDING_CRASHING_PROMPTS_HARNESS_H_
-#define TESTS_FORWARDING_CRASHING_PROMPTS_HARNESS_H_
+#ifndef TESTS_FORWARDING_MODEL_ENGINES_HARNESS_H_
+#define TESTS_FORWARDING_MODEL_ENGINES_HARNESS_H_
 
 #include <map>
 #include <memory>
@@ -13,10 +13,10 @@
 
 /// Entries before model engines. An engine ends when it begins to answer a
 /// prompt with a crashing part, and is back after a while as another one.
-class CrashingPromptsHarness : public GatewayHarness {
+class ModelEnginesHarness : public GatewayHarness {
  public:
   /// `peer_delay` is that of each message between entries.
-  explicit CrashingPromptsHarness(
+  explicit ModelEnginesHarness(
       int entries,
       Duration peer_delay = std::chrono::milliseconds(1));
 
@@ -35,7 +35,15 @@
   int crashes() const { return crashes_; }
   std::size_t size() const { return nodes.size(); }
 
+  /// Requests that each engine got, by step.
+  const std::map<EngineId, std::vector<int>>& arrivals() const {
+    return arrivals_;
+  }
+  int step() const { return step_; }
+
   std::set<PromptPartId> crashing_parts;
+  /// Requests a second that engines name as their limit in each answer.
+  std::map<EngineId, double> limits;
 
   static constexpr Duration kStep = std::chrono::milliseconds(50);
   static constexpr int kEngines = 24;
@@ -44,12 +52,15 @@
 
  private:
   void AddEngine();
-  void AnswerSend(TargetSend& send);
+  void AnswerSend(GatewayNode& node, TargetSend& send);
 
   std::set<EngineId> engines_;
   /// Steps at which a crashed engine is back.
   std::vector<int> restarts_;
   std::map<RequestId, int> events_;
+  std::map<EngineId, std::vector<int>> arrivals_;
+  // Sends of each entry that are in `arrivals_`.
+  std::map<const GatewayNode*, std::size_t> counted_sends_;
   int next_engine_ = 0;
   int next_request_ = 0;
   int step_ = 0;
@@ -58,4 +69,4 @@
 
 }  // namespace kingcupdrift::fakes
 
-#endif  // TESTS_FORWARDING_CRASHING_PROMPTS_HARNESS_H_
+#endif  // TESTS_FORWARDING_MODEL_ENGINES_HARNESS_H_
