Keep engines below the limits that they name

What callers saw: nothing at first; engines in need went on getting as many requests as all others, up to 22 in 4 s where 17 are allowed. Cause: the limit in an engine's answer was not read, so that each entry chose the engine as before. Change: three entries of the serving group send to an engine with a limit, a third of it each and one request at once; the others send it nothing. They are chosen by rendezvous hashing, so that entries agree without a message. What an engine says about its limit is told to all entries; an answer without a limit ends it, and so does a minute without a confirmation.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -94,8 +94,12 @@
       leaving_listener_(leaving);
     }
     if (notice.tells_limit && IsListed(engine)) {
-      HandleLimit({engine.id, engine.incarnation, notice.requests_per_second,
-                   Duration::zero()});
+      const EngineLimit limit{engine.id, engine.incarnation,
+                              notice.requests_per_second, Duration::zero()};
+      if (context_.rate_limiter.Update(limit)) {
+        LogLimit(limit, "engine");
+        limit_listener_(limit);
+      }
     }
     if (notice.pause > Duration::zero() && IsListed(engine)) {
       context_.health.Pause(engine.id, notice.pause);
@@ -107,15 +111,22 @@
     }
   }
 
-  void HandleLimit(const EngineLimit& limit) {
-    if (!context_.rate_limiter.Update(limit)) {
-      return;
+  void SetLimitListener(LimitListener listener) override {
+    limit_listener_ = std::move(listener);
+  }
+
+  void ApplyLimit(const EngineLimit& limit) override {
+    if (context_.rate_limiter.Update(limit)) {
+      LogLimit(limit, "entry");
     }
-    context_.log.Add("forward", "limit")
-        .Text("target", limit.engine.value())
-        .Text("per_second", limit.requests_per_second
-                                ? fmt::format("{}", *limit.requests_per_second)
-                                : "none");
+  }
+
+  std::vector<EngineLimit> ListLimits() const override {
+    return context_.rate_limiter.List();
+  }
+
+  void SetSendingEntries(std::vector<InstanceId> entries) override {
+    context_.rate_limiter.SetEntries(std::move(entries));
   }
 
   void RemoveTarget(const EngineId& id, bool is_confirmed) override {
@@ -234,6 +245,15 @@
            listed->address.incarnation == engine.incarnation;
   }
 
+  void LogLimit(const EngineLimit& limit, std::string_view source) {
+    context_.log.Add("forward", "limit")
+        .Text("target", limit.engine.value())
+        .Text("per_second", limit.requests_per_second
+                                ? fmt::format("{}", *limit.requests_per_second)
+                                : "none")
+        .Text("source", source);
+  }
+
   void LogLeaving(const LeavingEngine& engine, std::string_view source) {
     context_.log.Add("forward", "leaving")
         .Text("target", engine.engine.value())
@@ -272,6 +292,7 @@
   std::map<std::uint64_t, std::unique_ptr<ForwardRequest>> requests_;
   DeferredTaskRunner deferred_;
   LeavingListener leaving_listener_ = [](const LeavingEngine&) {};
+  LimitListener limit_listener_ = [](const EngineLimit&) {};
   // Times that an engine asked for a pause.
   std::uint64_t pauses_ = 0;
 };
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -88,6 +88,15 @@
   virtual void ApplyLeaving(const LeavingEngine& engine) = 0;
   /// All engines that are known to be leaving.
   virtual std::vector<LeavingEngine> ListLeavingEngines() const = 0;
+  /// Called with what engines tell this entry about their limits.
+  using LimitListener = std::function<void(const EngineLimit&)>;
+  virtual void SetLimitListener(LimitListener listener) = 0;
+  /// An engine told another entry about its limit.
+  virtual void ApplyLimit(const EngineLimit& limit) = 0;
+  virtual std::vector<EngineLimit> ListLimits() const = 0;
+  /// Entries, this one included, among which the limits of engines are divided;
+  /// this one alone before the first call.
+  virtual void SetSendingEntries(std::vector<InstanceId> entries) = 0;
   /// Called with evidence about parts of prompts that may crash engines, for
   /// the other entries.
   using CrashEvidenceListener = std::function<void(const CrashEvidence&)>;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -54,6 +54,9 @@
     forwarder_->SetLeavingListener([this](const LeavingEngine& engine) {
       peer_exchange_.BroadcastLeaving(engine);
     });
+    forwarder_->SetLimitListener([this](const EngineLimit& limit) {
+      peer_exchange_.BroadcastLimit(limit);
+    });
     forwarder_->SetCrashEvidenceListener([this](const CrashEvidence& evidence) {
       peer_exchange_.BroadcastCrashEvidence(evidence);
     });
@@ -142,6 +145,14 @@
     return forwarder_->ListLeavingEngines();
   }
 
+  void OnLimitReported(const EngineLimit& limit) override {
+    forwarder_->ApplyLimit(limit);
+  }
+
+  std::vector<EngineLimit> ListLimits() const override {
+    return forwarder_->ListLimits();
+  }
+
   void OnCrashEvidence(const CrashEvidence& evidence) override {
     forwarder_->ApplyCrashEvidence(evidence);
   }
@@ -198,6 +209,7 @@
                       bool is_serving) override {
     UpdateRequestRate();
     forwarder_->SetEntryCount(peer_exchange_.CountLimitShares());
+    forwarder_->SetSendingEntries(peer_exchange_.ListSendingEntries());
     election_.Update(recent, mirror_.IsStoreReachable(), is_serving);
     if (election_.should_read() == mirror_.is_reading()) {
       return;
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -152,7 +152,7 @@
     refusal.retry_after = kRetryAfter;
     if (type == ForwardRefusalType::kOverloaded ||
         type == ForwardRefusalType::kTargetDeclined) {
-      // Paused targets take nothing before their pause ends.
+      // Paused and limited targets take nothing before that.
       refusal.retry_after =
           std::max(kRetryAfter, GetCandidateDelay().value_or(Duration::zero()));
     } else if (type == ForwardRefusalType::kQuarantined) {
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -96,8 +96,12 @@
   PlacementResult ChooseEngine(const std::vector<const TargetRecord*>& targets,
                                const EngineTiming& timing,
                                SendPlan& plan);
-  /// Usable targets that this request has not tried, also paused ones.
+  /// Usable targets that this request has not tried and that this entry may
+  /// send to, now or later.
   std::vector<const TargetRecord*> ListUntried();
+  /// Time until the target may get a request: its pause and its limit. Absent
+  /// if it gets none from this entry.
+  std::optional<Duration> GetTargetDelay(const EngineId& target) const;
   /// Those of `ListUntried` that may get the request now.
   std::vector<const TargetRecord*> ListCandidates();
   /// Time until a target may get the request: zero if one may get it now,
@@ -107,7 +111,7 @@
   bool HasCandidateInTime();
   /// No engine of `plan_` has left or asked for a pause since it was made.
   bool IsPlanValid() const;
-  std::size_t CountPausedCandidates();
+  std::size_t CountDelayedCandidates();
   /// Timing by which this request is placed; null for requests that go to the
   /// least loaded target.
   const EngineTiming* FindEngineTiming() const;
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -38,15 +38,26 @@
   std::vector<const TargetRecord*> untried =
       context_.directory.ListUsable(service_);
   std::erase_if(untried, [this](const TargetRecord* it) {
-    return excluded_targets_.contains(it->address.id);
+    return excluded_targets_.contains(it->address.id) ||
+           !GetTargetDelay(it->address.id);
   });
   return untried;
 }
 
+std::optional<Duration> ForwardRequest::GetTargetDelay(
+    const EngineId& target) const {
+  const std::optional<Duration> limited =
+      context_.rate_limiter.GetDelay(target);
+  if (!limited) {
+    return std::nullopt;
+  }
+  return std::max(*limited, context_.health.GetPauseLeft(target));
+}
+
 std::vector<const TargetRecord*> ForwardRequest::ListCandidates() {
   std::vector<const TargetRecord*> usable = ListUntried();
   std::erase_if(usable, [this](const TargetRecord* it) {
-    return context_.health.IsPaused(it->address.id);
+    return GetTargetDelay(it->address.id) > Duration::zero();
   });
   const auto is_in_backoff = [this](const TargetRecord* it) {
     return context_.health.IsInBackoff(it->address.id);
@@ -60,7 +71,7 @@
 std::optional<Duration> ForwardRequest::GetCandidateDelay() {
   std::optional<Duration> delay;
   for (const TargetRecord* const it : ListUntried()) {
-    const Duration left = context_.health.GetPauseLeft(it->address.id);
+    const Duration left = *GetTargetDelay(it->address.id);
     delay = std::min(delay.value_or(left), left);
   }
   return delay;
@@ -75,11 +86,11 @@
          *delay < TimeLeftToFirstEvent();
 }
 
-std::size_t ForwardRequest::CountPausedCandidates() {
+std::size_t ForwardRequest::CountDelayedCandidates() {
   const std::vector<const TargetRecord*> untried = ListUntried();
   return static_cast<std::size_t>(std::count_if(
       untried.begin(), untried.end(), [this](const TargetRecord* it) {
-        return context_.health.IsPaused(it->address.id);
+        return GetTargetDelay(it->address.id) > Duration::zero();
       }));
 }
 
@@ -143,8 +154,8 @@
   const PromptPlacer placer(timing);
   const PromptPlacementRequest request = MakePlacementRequest();
   const Duration time_left = TimeLeftToFirstEvent();
-  // Paused engines can hold a part of the prompt once their pause has ended.
-  const std::size_t engine_count = targets.size() + CountPausedCandidates();
+  // Engines that take nothing now can hold a part of the prompt later.
+  const std::size_t engine_count = targets.size() + CountDelayedCandidates();
   if (!placer.FitsInMemory(request, engine_count) ||
       placer.EstimateIdealTimeToFirstEvent(request) > time_left) {
     return PlacementResult::kImpossible;
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -39,6 +39,10 @@
   is_waiting_ = false;
   plan_ = plan;
   RegisterWork();
+  context_.rate_limiter.CountRequest(plan_.target.id);
+  for (const PrefillHelper& it : plan_.helpers) {
+    context_.rate_limiter.CountRequest(it.engine.id);
+  }
   std::vector<PrefillHelper> holders;
   for (PrefillHelper& it : plan_.helpers) {
     if (it.held > TokenCount()) {
--- a/src/kingcupdrift/forwarding/peer_state_exchange.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.cc
@@ -119,6 +119,11 @@
   FlushSoon();
 }
 
+void PeerStateExchange::BroadcastLimit(const EngineLimit& limit) {
+  pending_limits_.push_back(limit);
+  FlushSoon();
+}
+
 void PeerStateExchange::BroadcastCrashEvidence(const CrashEvidence& evidence) {
   CrashEvidence& pending = pending_crash_evidence_;
   pending.crashes.insert(pending.crashes.end(), evidence.crashes.begin(),
@@ -157,14 +162,15 @@
   WorkNotesMessage message = MakeStateMessage();
   message.leaving_engines = std::exchange(pending_leaving_, {});
   message.store_changes = observer_.TakeStoreChanges();
+  message.limits = std::exchange(pending_limits_, {});
   message.crash_evidence = std::exchange(pending_crash_evidence_, {});
   if (is_heartbeat) {
     message.crash_evidence.crashes =
         observer_.ListCrashEvidence(kCrashRepeatTime).crashes;
   }
-  const bool has_news = !message.leaving_engines.empty() ||
-                        message.store_changes.has_value() ||
-                        !message.crash_evidence.empty();
+  const bool has_news =
+      !message.leaving_engines.empty() || message.store_changes.has_value() ||
+      !message.limits.empty() || !message.crash_evidence.empty();
   if (is_serving_ && (is_heartbeat || has_news)) {
     for (const auto& [id, peer] : peers_) {
       if (!peer.is_serving) {
@@ -270,6 +276,9 @@
   for (const LeavingEngine& it : message.leaving_engines) {
     observer_.OnLeavingReported(it);
   }
+  for (const EngineLimit& it : message.limits) {
+    observer_.OnLimitReported(it);
+  }
   if (!message.crash_evidence.empty()) {
     observer_.OnCrashEvidence(message.crash_evidence);
   }
@@ -293,6 +302,7 @@
   message.is_complete = true;
   message.notes = observer_.ListLocalWork();
   message.leaving_engines = observer_.ListLeavingEngines();
+  message.limits = observer_.ListLimits();
   message.crash_evidence =
       observer_.ListCrashEvidence(PromptPartQuarantine::kQuarantineTime);
   Send(peer.record.peer_endpoint, std::move(message));
--- a/src/kingcupdrift/forwarding/peer_state_exchange.h
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.h
@@ -38,6 +38,10 @@
   virtual void OnLeavingReported(const LeavingEngine& engine) = 0;
   /// All engines that are known to be leaving.
   virtual std::vector<LeavingEngine> ListLeavingEngines() const = 0;
+  /// An engine told another entry about its limit.
+  virtual void OnLimitReported(const EngineLimit& limit) = 0;
+  /// Limits of engines in force.
+  virtual std::vector<EngineLimit> ListLimits() const = 0;
   virtual void OnCrashEvidence(const CrashEvidence& evidence) = 0;
   /// Crashes of engines of at most this age, from this and other entries.
   virtual CrashEvidence ListCrashEvidence(Duration max_age) const = 0;
@@ -116,6 +120,9 @@
   /// Reports to all peers, or from the reserve to the serving group, that the
   /// engine is leaving, batched like `BroadcastWork`.
   void BroadcastLeaving(const LeavingEngine& engine);
+  /// Reports what an engine said about its limit to the same peers, batched
+  /// like `BroadcastWork`.
+  void BroadcastLimit(const EngineLimit& limit);
   /// Sends the evidence to the same peers, batched like `BroadcastWork`.
   /// Crashes are sent again with heartbeats for `kCrashRepeatTime`.
   void BroadcastCrashEvidence(const CrashEvidence& evidence);
@@ -142,6 +149,12 @@
 
   /// Covers messages that are lost, and a change of the serving group.
   static constexpr Duration kCrashRepeatTime = std::chrono::seconds(3);
+  /// Entries among which limits of engines are divided, this one included: the
+  /// serving group without those that are draining or out of reach. All listed
+  /// entries if this one hears of less than half of them or of a full group,
+  /// since it may be the one that is cut off.
+  std::vector<InstanceId> ListSendingEntries() const;
+
   /// A batch is sent this long after its first note. Short, so that the other
   /// entries get the note before they choose the same engine.
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(1);
@@ -238,6 +251,7 @@
   std::vector<EngineId> pending_suspects_;
   std::vector<LeavingEngine> pending_leaving_;
   CrashEvidence pending_crash_evidence_;
+  std::vector<EngineLimit> pending_limits_;
   // Time since which a peer has been ahead of the local copy of the store.
   std::optional<MonotonicTime> behind_since_;
   std::unique_ptr<Timer> check_timer_;
--- a/src/kingcupdrift/forwarding/peer_state_exchange_group.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange_group.cc
@@ -102,6 +102,23 @@
   return endpoints;
 }
 
+std::vector<InstanceId> PeerStateExchange::ListSendingEntries() const {
+  std::vector<InstanceId> sending;
+  std::vector<InstanceId> listed = {local_entry_.id};
+  if (is_serving_ && !observer_.GetLocalState().is_leaving) {
+    sending.push_back(local_entry_.id);
+  }
+  for (const auto& [id, peer] : peers_) {
+    listed.push_back(id);
+    if (peer.is_serving && !peer.is_leaving && !peer.is_unreachable &&
+        peer.has_responded) {
+      sending.push_back(id);
+    }
+  }
+  const std::size_t group = std::min(listed.size(), kMinServingGroupSize);
+  return 2 * sending.size() < group ? listed : sending;
+}
+
 std::size_t PeerStateExchange::CountLimitShares() const {
   const std::size_t listed = CountEntries();
   if (listed <= kMinServingGroupSize) {
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -10,6 +10,7 @@
 
 #include "kingcupdrift/base/base.h"
 #include "kingcupdrift/interfaces/crash_evidence.h"
+#include "kingcupdrift/interfaces/engine_limit.h"
 
 namespace kingcupdrift {
 
@@ -175,6 +176,9 @@
   /// Engines that told the sender that they are leaving; with `is_complete`,
   /// all that it knows of.
   std::vector<LeavingEngine> leaving_engines;
+  /// What engines told the sender about their limits; with `is_complete`, all
+  /// limits that it knows of.
+  std::vector<EngineLimit> limits;
   /// With `is_complete` all that the sender knows, else what is new or may have
   /// been lost on its way.
   CrashEvidence crash_evidence;
--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -77,6 +77,44 @@
   return out;
 }
 
+Offset<flatbuffers::Vector<Offset<wire::EngineLimit>>> EncodeLimits(
+    FlatBufferBuilder& builder,
+    const std::vector<EngineLimit>& limits) {
+  std::vector<Offset<wire::EngineLimit>> out;
+  out.reserve(limits.size());
+  for (const EngineLimit& it : limits) {
+    flatbuffers::Optional<double> rate;
+    if (it.requests_per_second) {
+      rate = *it.requests_per_second;
+    }
+    out.push_back(wire::CreateEngineLimit(
+        builder, builder.CreateString(it.engine.value()),
+        it.incarnation.value(), rate, it.age.count()));
+  }
+  return builder.CreateVector(out);
+}
+
+Result<std::vector<EngineLimit>> DecodeLimits(const wire::WorkNotes& table) {
+  std::vector<EngineLimit> limits;
+  if (table.limits() == nullptr) {
+    return limits;
+  }
+  for (const wire::EngineLimit* const it : *table.limits()) {
+    EngineLimit limit{EngineId(it->engine()->str()),
+                      Incarnation(it->incarnation()), std::nullopt,
+                      Duration(it->age_us())};
+    if (const auto rate = it->requests_per_second()) {
+      limit.requests_per_second = *rate;
+    }
+    if (limit.age < Duration::zero() ||
+        !(limit.requests_per_second.value_or(0) >= 0)) {
+      return MakeFrameError("an engine's limit is not valid");
+    }
+    limits.push_back(std::move(limit));
+  }
+  return limits;
+}
+
 Result<StoreStateReplyMessage> DecodeStateReply(
     const wire::StoreStateReply& reply) {
   if (!IsWithin(reply.items(), kMaxPeerStoreItems)) {
@@ -153,14 +191,16 @@
       message.store_position.era.value(), builder.CreateVector(leaving),
       changes, message.requests_per_second,
       EncodeCrashes(builder, message.crash_evidence.crashes),
-      EncodePartSuccesses(builder, message.crash_evidence.successes));
+      EncodePartSuccesses(builder, message.crash_evidence.successes),
+      EncodeLimits(builder, message.limits));
   return table;
 }
 
 Result<PeerPayload> DecodeWorkNotes(const wire::WorkNotes& table) {
   if (!IsWithin(table.notes(), kMaxPeerNotes) ||
       !IsWithin(table.suspects(), kMaxPeerNotes) ||
-      !IsWithin(table.leaving_engines(), kMaxPeerNotes)) {
+      !IsWithin(table.leaving_engines(), kMaxPeerNotes) ||
+      !IsWithin(table.limits(), kMaxPeerNotes)) {
     return MakeFrameError("a list in the frame is too long");
   }
   WorkNotesMessage message;
@@ -189,6 +229,11 @@
     return tl::unexpected(evidence.error());
   }
   message.crash_evidence = *std::move(evidence);
+  Result<std::vector<EngineLimit>> limits = DecodeLimits(table);
+  if (!limits) {
+    return tl::unexpected(limits.error());
+  }
+  message.limits = *std::move(limits);
   if (table.store_changes() != nullptr) {
     Result<StoreStateReplyMessage> changes =
         DecodeStateReply(*table.store_changes());
--- a/tests/forwarding/engine_limit_test.cc
+++ b/tests/forwarding/engine_limit_test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "tests/forwarding/model_engines_harness.h"
 
@@ -21,6 +22,11 @@
 constexpr double kFactor = 1.5;
 constexpr double kExtra = 5;
 
+/// So few that `kFillingLoad` fills those without a limit.
+constexpr int kFewEngines = 3;
+/// Requests in each step.
+constexpr int kFillingLoad = 2;
+
 constexpr int StepsIn(Duration time) {
   return static_cast<int>(time / ModelEnginesHarness::kStep);
 }
@@ -30,8 +36,10 @@
 }
 
 struct LimitHarness : ModelEnginesHarness {
-  explicit LimitHarness(int entries, Duration peer_delay = milliseconds(1))
-      : ModelEnginesHarness(entries, peer_delay) {}
+  explicit LimitHarness(int entries,
+                        Duration peer_delay = milliseconds(1),
+                        int engines = kEngines)
+      : ModelEnginesHarness(entries, peer_delay, engines) {}
 
   /// The first `count` engines name this limit from now on.
   void NameLimits(int count, double limit) {
@@ -111,5 +119,93 @@
   }
 }
 
+TEST_CASE("an engine with a limit still gets most of what it takes") {
+  for (const int entries : {1, 6, 24}) {
+    for (const double limit : {1.4, 5.0}) {
+      CAPTURE(entries);
+      CAPTURE(limit);
+      LimitHarness harness(entries, milliseconds(1), kFewEngines);
+      harness.NameLimits(1, limit);
+      harness.Load(StepsIn(seconds(2)), kFillingLoad);
+      const int from = harness.step();
+      harness.Load(StepsIn(seconds(8)), kFillingLoad);
+      const EngineId engine = harness.limits.begin()->first;
+      CHECK(harness.CountSince(engine, from) >= limit * 8 / 2);
+    }
+  }
+}
+
+TEST_CASE("an engine that names no limit any more is used as before") {
+  LimitHarness harness(6, milliseconds(1), kFewEngines);
+  harness.NameLimits(1, 0.5);
+  harness.Load(StepsIn(seconds(3)), kFillingLoad);
+  const EngineId engine = harness.limits.begin()->first;
+  harness.limits.clear();
+  // The next request to the engine shows that the limit has ended.
+  harness.Load(StepsIn(seconds(6)), kFillingLoad);
+  const int from = harness.step();
+  harness.Load(StepsIn(seconds(2)), kFillingLoad);
+  CHECK(harness.CountSince(engine, from) >= 10);
+}
+
+TEST_CASE("a limit is kept while entries hear each other late") {
+  for (const int delay_ms : {100, 400, 700}) {
+    CAPTURE(delay_ms);
+    LimitHarness harness(6, milliseconds(delay_ms));
+    harness.NameLimits(3, 1.4);
+    harness.Load(StepsIn(seconds(14)));
+    for (const auto& [engine, named] : harness.limits) {
+      CHECK(harness.FindMostInWindow(engine) <= AllowedInWindow(named));
+    }
+    harness.Steps(40);
+    LimitHarness without_limits(6, milliseconds(delay_ms));
+    without_limits.Load(StepsIn(seconds(14)));
+    without_limits.Steps(40);
+    CHECK(harness.CountAnsweredShare() >= without_limits.CountAnsweredShare());
+  }
+}
+
+TEST_CASE("a limit is kept while entries die and start again") {
+  LimitHarness harness(6);
+  harness.NameLimits(3, 1.4);
+  harness.Load(StepsIn(seconds(4)));
+  for (std::size_t i = 0; i < 6; ++i) {
+    harness.nodes[i]->Kill();
+    harness.Load(StepsIn(milliseconds(i % 2 == 0 ? 500 : 2500)));
+    harness.nodes.push_back(std::make_unique<GatewayNode>(
+        static_cast<int>(i) + 1, "restarted-", harness.clock, harness.random,
+        harness.model, harness.network, harness.decoder));
+    harness.nodes.back()->gateway->Start();
+    harness.Steps(2);
+    harness.Load(StepsIn(milliseconds(1500)));
+  }
+  harness.Load(StepsIn(seconds(5)));
+  for (const auto& [engine, named] : harness.limits) {
+    CHECK(harness.FindMostInWindow(engine) <= AllowedInWindow(named));
+    CHECK(harness.FindMostInWindow(engine) >= 1);
+  }
+}
+
+TEST_CASE("requests beyond the limits of all engines are refused as not run") {
+  LimitHarness harness(6);
+  harness.NameLimits(ModelEnginesHarness::kEngines, 0.5);
+  harness.Load(StepsIn(seconds(4)));
+  const auto before = harness.callers.size();
+  harness.Load(StepsIn(seconds(8)), 2);
+  harness.Steps(StepsIn(seconds(11)));
+  int answered = 0;
+  for (std::size_t i = before; i < harness.callers.size(); ++i) {
+    const CallerRecord& caller = *harness.callers[i];
+    REQUIRE(caller.IsOver());
+    answered += caller.has_ended ? 1 : 0;
+    if (caller.refusal) {
+      CHECK(GuaranteesNotRun(caller.refusal->type));
+      CHECK(caller.refusal->retry_after > Duration::zero());
+    }
+  }
+  // 24 engines that take 0.5 requests a second, in 8 s.
+  CHECK(answered >= 48);
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
--- a/tests/forwarding/model_engines_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -15,9 +15,11 @@
 
 }  // namespace
 
-ModelEnginesHarness::ModelEnginesHarness(int entries, Duration peer_delay)
+ModelEnginesHarness::ModelEnginesHarness(int entries,
+                                         Duration peer_delay,
+                                         int engines)
     : GatewayHarness(entries, peer_delay) {
-  for (int i = 0; i < kEngines; ++i) {
+  for (int i = 0; i < engines; ++i) {
     AddEngine();
   }
   Steps(4);
--- a/tests/forwarding/model_engines_harness.h
+++ b/tests/forwarding/model_engines_harness.h
@@ -18,7 +18,8 @@
   /// `peer_delay` is that of each message between entries.
   explicit ModelEnginesHarness(
       int entries,
-      Duration peer_delay = std::chrono::milliseconds(1));
+      Duration peer_delay = std::chrono::milliseconds(1),
+      int engines = kEngines);
 
   /// Sends a prompt with these shared parts to the entry `node`.
   std::shared_ptr<CallerRecord> Ask(std::size_t node,
--- a/tests/forwarding/peer_exchange_harness.h
+++ b/tests/forwarding/peer_exchange_harness.h
@@ -96,6 +96,10 @@
   std::vector<LeavingEngine> ListLeavingEngines() const override {
     return known_leaving;
   }
+  void OnLimitReported(const EngineLimit& limit) override {
+    limits.push_back(limit);
+  }
+  std::vector<EngineLimit> ListLimits() const override { return known_limits; }
   void OnCrashEvidence(const CrashEvidence& evidence) override {
     received_evidence.push_back(evidence);
   }
@@ -146,6 +150,8 @@
   std::vector<EngineId> suspects;
   std::vector<LeavingEngine> leaving;
   std::vector<LeavingEngine> known_leaving;
+  std::vector<EngineLimit> limits;
+  std::vector<EngineLimit> known_limits;
   std::vector<CrashEvidence> received_evidence;
   std::vector<EngineCrash> known_crashes;
   std::optional<StoreStateReplyMessage> changes;
--- a/tests/forwarding/serving_group_test.cc
+++ b/tests/forwarding/serving_group_test.cc
@@ -241,5 +241,31 @@
   }
 }
 
+TEST_CASE("limits of engines are divided among the group in reach") {
+  for (const int count : {6, 60}) {
+    CAPTURE(count);
+    FleetHarness harness(count);
+    const std::size_t group =
+        std::min(kMinServingGroupSize, static_cast<std::size_t>(count));
+    const auto sending = [&](int i) {
+      return harness.entries[FleetHarness::Index(i)]
+          ->peer_exchange.ListSendingEntries();
+    };
+    for (int i = 0; i < count; ++i) {
+      CHECK(sending(i).size() == group);
+    }
+    const int dead = harness.Serving()[0];
+    harness.Kill(dead);
+    harness.clock.Advance(seconds(3));
+    const int other = harness.Serving()[0];
+    const auto left = sending(other);
+    CHECK(left.size() == (count > 16 ? group : group - 1));
+    CHECK(std::find(left.begin(), left.end(), FleetRecord(dead).id) ==
+          left.end());
+    // The killed one hears nobody: it may be the only one that is cut off.
+    CHECK(sending(dead).size() == static_cast<std::size_t>(count));
+  }
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
--- a/tests/net/forwarding_codec_test.cc
+++ b/tests/net/forwarding_codec_test.cc
@@ -84,6 +84,28 @@
   CHECK_FALSE(DecodePeerFrame(EncodePeerMessage(message)));
 }
 
+TEST_CASE("limits of engines survive encoding and decoding") {
+  PeerMessage message = MakeWorkNotes();
+  std::vector<EngineLimit>& sent =
+      std::get<WorkNotesMessage>(message.payload).limits;
+  sent = {{EngineId("e"), Incarnation(7), 1.4, std::chrono::milliseconds(30)},
+          {EngineId("f"), Incarnation(), 0.0, Duration::zero()},
+          {EngineId("g"), Incarnation(), std::nullopt, Duration::zero()}};
+  const auto frame = DecodePeerFrame(EncodePeerMessage(message));
+  REQUIRE(frame);
+  REQUIRE(*frame);
+  const auto& limits = std::get<WorkNotesMessage>((*frame)->payload).limits;
+  REQUIRE(limits.size() == 3);
+  CHECK(limits[0].engine == EngineId("e"));
+  CHECK(limits[0].incarnation == Incarnation(7));
+  CHECK(limits[0].requests_per_second == 1.4);
+  CHECK(limits[0].age == std::chrono::milliseconds(30));
+  CHECK(limits[1].requests_per_second == 0.0);
+  CHECK_FALSE(limits[2].requests_per_second);
+  sent[0].requests_per_second = -1;
+  CHECK_FALSE(DecodePeerFrame(EncodePeerMessage(message)));
+}
+
 TEST_CASE("a frame with too many suspects is refused") {
   PeerMessage message = MakeWorkNotes();
   std::get<WorkNotesMessage>(message.payload)
