Limit response heads and chunks that never end

Cause: bytes that are no answer may come without end. libevent keeps a chunk's size line of any length, and goes on reading interim responses for ever, so that a faulty engine could fill the memory of an entry. Change: a client connection fails if a head with its interim responses exceeds 128 KiB, or if more than 8 MiB wait for the rest of a chunk, the limit of whole answers.

--- a/src/kingcupdrift/net/internal/client_call.cc
+++ b/src/kingcupdrift/net/internal/client_call.cc
@@ -39,13 +39,19 @@
     observer_.OnBytes(bytes);
   }
 
-  void HandleEnd(bool is_response_complete) override {
-    if (is_response_complete && has_headers_) {
+  void HandleEnd(ResponseEnd end) override {
+    if (end == ResponseEnd::kComplete && has_headers_) {
       StopTimers();
       pool_.Return(std::move(connection_));
       observer_.OnEnd();
       return;
     }
+    if (end == ResponseEnd::kTooLarge) {
+      Fail(GetConnectionFailureCode(), "the response from " +
+                                           ToString(request_.server) +
+                                           " exceeds a limit");
+      return;
+    }
     if (ShouldRetry()) {
       DiscardConnection();
       Connect(pool_.CreateNew(request_.server));
--- a/src/kingcupdrift/net/internal/client_connection.cc
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -58,6 +58,8 @@
                             ConnectionDelegate& delegate) {
   delegate_ = &delegate;
   is_sent_ = false;
+  has_head_ = false;
+  head_bytes_ = 0;
   evhttp_request* const out = evhttp_request_new(&OnDone, this);
   evhttp_request_set_header_cb(out, &OnHeaders);
   evhttp_request_set_chunked_cb(out, &OnChunk);
@@ -88,6 +90,7 @@
 
 int ClientConnection::OnHeaders(evhttp_request* request, void* arg) {
   auto& self = *static_cast<ClientConnection*>(arg);
+  self.has_head_ = true;
   if (self.delegate_ != nullptr) {
     self.delegate_->HandleHeaders(
         evhttp_request_get_response_code(request),
@@ -122,7 +125,8 @@
   }
   const bool is_response_complete =
       request != nullptr && evhttp_request_get_response_code(request) != 0;
-  self.delegate_->HandleEnd(is_response_complete);
+  self.delegate_->HandleEnd(is_response_complete ? ResponseEnd::kComplete
+                                                 : ResponseEnd::kBroken);
 }
 
 void ClientConnection::OnOutput(evbuffer*,
@@ -139,11 +143,22 @@
   }
 }
 
-void ClientConnection::OnInput(evbuffer*,
+void ClientConnection::OnInput(evbuffer* buffer,
                                const evbuffer_cb_info* info,
                                void* arg) {
   auto& self = *static_cast<ClientConnection*>(arg);
   self.counters_.bytes_received += static_cast<std::int64_t>(info->n_added);
+  self.CheckLimits(evbuffer_get_length(buffer), info->n_added);
+}
+
+void ClientConnection::CheckLimits(std::size_t unread_bytes,
+                                   std::size_t added_bytes) {
+  head_bytes_ += has_head_ ? 0 : added_bytes;
+  const bool is_exceeded =
+      unread_bytes > kMaxUnreadBytes || head_bytes_ > kMaxHeadBytes;
+  if (is_exceeded && delegate_ != nullptr) {
+    delegate_->HandleEnd(ResponseEnd::kTooLarge);
+  }
 }
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/internal/client_connection.h
+++ b/src/kingcupdrift/net/internal/client_connection.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_NET_INTERNAL_CLIENT_CONNECTION_H_
 #define KINGCUPDRIFT_NET_INTERNAL_CLIENT_CONNECTION_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "kingcupdrift/net/http_client.h"
@@ -16,15 +17,24 @@
   std::int64_t bytes_received = 0;
 };
 
+/// How a request on a connection ended.
+enum class ResponseEnd {
+  kComplete,
+  /// The connection failed, or the request could not be sent, as with an
+  /// unsupported method.
+  kBroken,
+  /// The response exceeds a limit of `ClientConnection`.
+  kTooLarge,
+};
+
 /// Receives the events of the request that a connection carries.
 class ConnectionDelegate {
  public:
   virtual ~ConnectionDelegate() = default;
   virtual void HandleHeaders(int status, const HeaderList& headers) = 0;
   virtual void HandleBytes(std::string_view bytes) = 0;
-  /// The request ended. If `is_response_complete` is false, the connection
-  /// failed or the request could not be sent, as with an unsupported method.
-  virtual void HandleEnd(bool is_response_complete) = 0;
+  /// The request ended.
+  virtual void HandleEnd(ResponseEnd end) = 0;
 };
 
 /// One connection to a server, which carries at most one request at a time. It
@@ -54,6 +64,12 @@
   bool IsReusable() const;
   const Endpoint& server() const { return server_; }
 
+  /// Most bytes up to the end of the response head, interim responses included.
+  static constexpr std::size_t kMaxHeadBytes = 128 * 1024;
+  /// Most bytes that wait for the rest of a chunk or of its size line, which
+  /// libevent does not limit.
+  static constexpr std::size_t kMaxUnreadBytes = 8 * 1024 * 1024;
+
  private:
   static int OnHeaders(evhttp_request* request, void* arg);
   static void OnChunk(evhttp_request* request, void* arg);
@@ -65,6 +81,7 @@
                       const evbuffer_cb_info* info,
                       void* arg);
 
+  void CheckLimits(std::size_t unread_bytes, std::size_t added_bytes);
   bufferevent* stream() const;
 
   Endpoint server_;
@@ -72,6 +89,9 @@
   HttpConnectionHandle connection_;
   ConnectionDelegate* delegate_ = nullptr;
   bool is_sent_ = false;
+  bool has_head_ = false;
+  // Bytes received before the end of the response head.
+  std::size_t head_bytes_ = 0;
 };
 
 }  // namespace kingcupdrift
--- a/tests/net/net_fixture.h
+++ b/tests/net/net_fixture.h
@@ -84,8 +84,10 @@
   RawConnection(const RawConnection&) = delete;
   RawConnection& operator=(const RawConnection&) = delete;
 
-  void Write(std::string_view bytes) {
-    static_cast<void>(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  /// Returns the number of bytes that the connection takes at once.
+  std::size_t Write(std::string_view bytes) {
+    const ssize_t n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return n < 0 ? 0 : static_cast<std::size_t>(n);
   }
   /// Appends the bytes that have arrived to `received`; returns true once the
   /// other side has closed the connection.
@@ -97,6 +99,12 @@
     }
     return n == 0 || (n < 0 && errno != EAGAIN);
   }
+  /// Closes the connection with a reset.
+  void Reset() {
+    const linger at_once{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    Close();
+  }
   void Close() {
     if (fd_ >= 0) {
       evutil_closesocket(fd_);
