Record parts of prompts that crash engines in the store

Cause: a quarantine was known to the entries' memory alone. When all of them ended at once, prompts with the part reached engines again until three more crashes. Change: the first reader of the store records each part that has been held back for a second, under a lease of ten minutes; entries that start read it with everything else. An answer still ends the quarantine.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -169,6 +169,15 @@
     context_.crash_monitor.Apply(evidence);
   }
 
+  std::vector<PromptPartId> ListQuarantinedParts() const override {
+    return context_.crash_monitor.ListQuarantined();
+  }
+
+  void ApplyQuarantineRecord(const PromptPartId& part,
+                             bool is_present) override {
+    context_.crash_monitor.ApplyRecord(part, is_present);
+  }
+
   CrashEvidence ListCrashEvidence(Duration max_age) const override {
     return context_.crash_monitor.ListEvidence(max_age);
   }
@@ -222,7 +231,7 @@
     add_gauge("kingcupdrift_targets_limited",
               context_.rate_limiter.CountLimited());
     add_gauge("kingcupdrift_prompt_parts_quarantined",
-              context_.crash_monitor.CountQuarantined());
+              context_.crash_monitor.ListQuarantined().size());
     const auto add_counter = [&out](const std::string& name,
                                     std::uint64_t value) {
       out += "# TYPE " + name + " counter\n" + name + " " +
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -105,6 +105,11 @@
   virtual void ApplyCrashEvidence(const CrashEvidence& evidence) = 0;
   /// Crashes of at most this age, from this and other entries.
   virtual CrashEvidence ListCrashEvidence(Duration max_age) const = 0;
+  /// Parts of prompts that are held back.
+  virtual std::vector<PromptPartId> ListQuarantinedParts() const = 0;
+  /// The store's record of a part that is held back was read, or deleted.
+  virtual void ApplyQuarantineRecord(const PromptPartId& part,
+                                     bool is_present) = 0;
   /// Checks an engine that another entry suspects to be down. Does nothing if
   /// the engine is not listed.
   virtual void CheckSuspect(const EngineId& engine) = 0;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "kingcupdrift/forwarding/internal/quarantine_records.h"
 #include "kingcupdrift/store/store.h"
 
 namespace kingcupdrift {
@@ -43,6 +44,7 @@
                    deps.random,
                    std::string(kEntryPrefix),
                    EncodeEntryRecord(settings.own)),
+        quarantine_records_(deps.store, deps.clock),
         election_(deps.clock, settings.own.id, settings.own.failure_domain) {
     // The election decides; before it only the first listing is needed.
     mirror_.SetReading(false, false);
@@ -211,6 +213,9 @@
     forwarder_->SetEntryCount(peer_exchange_.CountLimitShares());
     forwarder_->SetSendingEntries(peer_exchange_.ListSendingEntries());
     election_.Update(recent, mirror_.IsStoreReachable(), is_serving);
+    if (election_.is_first_reader()) {
+      quarantine_records_.Write(forwarder_->ListQuarantinedParts());
+    }
     if (election_.should_read() == mirror_.is_reading()) {
       return;
     }
@@ -250,6 +255,14 @@
       HandleEntryRecord(event);
       return;
     }
+    if (event.key.starts_with(QuarantineRecords::kPrefix)) {
+      const PromptPartId part =
+          quarantine_records_.Apply(event.key, event.value);
+      if (!part.empty()) {
+        forwarder_->ApplyQuarantineRecord(part, event.value.has_value());
+      }
+      return;
+    }
     switch (deps_.decoder.ClassifyKey(event.key)) {
       case ItemKind::kConfig:
         HandleConfig(event);
@@ -331,6 +344,7 @@
   PeerStateExchange peer_exchange_;
   StoreMirror mirror_;
   LeasedKey entry_key_;
+  QuarantineRecords quarantine_records_;
   ReaderElection election_;
   // Position up to which this entry has passed changes on to its peers.
   StorePosition passed_on_;
--- a/src/kingcupdrift/forwarding/internal/crash_monitor.cc
+++ b/src/kingcupdrift/forwarding/internal/crash_monitor.cc
@@ -90,6 +90,23 @@
   return {quarantine_.ListCrashes(max_age), {}};
 }
 
+std::vector<PromptPartId> CrashMonitor::ListQuarantined() const {
+  std::vector<PromptPartId> parts;
+  for (const auto& [part, crashes] : quarantine_.ListQuarantined()) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+void CrashMonitor::ApplyRecord(const PromptPartId& part, bool is_present) {
+  if (is_present) {
+    quarantine_.AddRecord(part);
+  } else {
+    quarantine_.RemoveRecord(part);
+  }
+  LogChanges();
+}
+
 void CrashMonitor::LogChanges() {
   std::map<PromptPartId, int> now = quarantine_.ListQuarantined();
   for (const auto& [part, crashes] : now) {
--- a/src/kingcupdrift/forwarding/internal/crash_monitor.h
+++ b/src/kingcupdrift/forwarding/internal/crash_monitor.h
@@ -46,9 +46,9 @@
   Duration GetQuarantineLeft(const std::vector<PromptPartId>& parts) const {
     return quarantine_.GetTimeLeft(parts);
   }
-  std::size_t CountQuarantined() const {
-    return quarantine_.ListQuarantined().size();
-  }
+  std::vector<PromptPartId> ListQuarantined() const;
+  /// A record of a quarantine was read from or deleted in the store.
+  void ApplyRecord(const PromptPartId& part, bool is_present);
 
   /// Time from the first event on after which an answer counts as proof that
   /// the prompt does not crash its engine.
--- a/src/kingcupdrift/forwarding/prompt_part_quarantine.cc
+++ b/src/kingcupdrift/forwarding/prompt_part_quarantine.cc
@@ -35,7 +35,7 @@
   std::vector<PromptPartSuccess> cleared;
   for (const PromptPartId& part : parts) {
     RememberAnswer(part, time);
-    bool was_suspect = false;
+    bool was_suspect = recorded_.erase(part) > 0;
     for (auto& [engine, crash] : crashes_) {
       was_suspect |= crash.time <= time && crash.positions.erase(part) > 0;
     }
@@ -50,16 +50,26 @@
   return cleared;
 }
 
+void PromptPartQuarantine::AddRecord(const PromptPartId& part) {
+  recorded_[part] = clock_.Now() + kQuarantineTime;
+  AssignBlame();
+}
+
 Duration PromptPartQuarantine::GetTimeLeft(
     const std::vector<PromptPartId>& parts) const {
   Duration left{0};
-  if (quarantined_.empty()) {
+  if (quarantined_.empty() && recorded_.empty()) {
     return left;
   }
+  const MonotonicTime now = clock_.Now();
   for (const PromptPartId& part : parts) {
-    const auto it = quarantined_.find(part);
-    if (it != quarantined_.end()) {
-      left = std::max(left, it->second.until - clock_.Now());
+    const auto found = quarantined_.find(part);
+    if (found != quarantined_.end()) {
+      left = std::max(left, found->second.until - now);
+    }
+    const auto recorded = recorded_.find(part);
+    if (recorded != recorded_.end()) {
+      left = std::max(left, recorded->second - now);
     }
   }
   return left;
@@ -67,6 +77,11 @@
 
 std::map<PromptPartId, int> PromptPartQuarantine::ListQuarantined() const {
   std::map<PromptPartId, int> parts;
+  for (const auto& [part, until] : recorded_) {
+    if (until > clock_.Now()) {
+      parts[part] = 0;
+    }
+  }
   for (const auto& [part, it] : quarantined_) {
     if (it.until > clock_.Now()) {
       parts[part] = it.crashes;
@@ -137,8 +152,10 @@
   std::map<PromptPartId, Blame> blames;
   for (const auto& [engine, crash] : crashes_) {
     const bool is_explained = std::any_of(
-        crash.positions.begin(), crash.positions.end(),
-        [this](const auto& it) { return quarantined_.contains(it.first); });
+        crash.positions.begin(), crash.positions.end(), [this](const auto& it) {
+          return quarantined_.contains(it.first) ||
+                 recorded_.contains(it.first);
+        });
     if (is_explained) {
       continue;
     }
--- a/src/kingcupdrift/forwarding/prompt_part_quarantine.h
+++ b/src/kingcupdrift/forwarding/prompt_part_quarantine.h
@@ -36,9 +36,16 @@
       const std::vector<PromptPartId>& parts,
       Duration age);
 
+  /// A record says that the part is in quarantine, as other entries (serving
+  /// processes) found. Ends with an answer, `kQuarantineTime` from now, or with
+  /// `RemoveRecord`.
+  void AddRecord(const PromptPartId& part);
+  void RemoveRecord(const PromptPartId& part) { recorded_.erase(part); }
+
   /// Time until none of the parts is in quarantine; zero if none is.
   Duration GetTimeLeft(const std::vector<PromptPartId>& parts) const;
-  /// Parts in quarantine, with the number of crashes blamed on each.
+  /// Parts in quarantine, with the number of crashes blamed on each; zero if
+  /// only a record says so.
   std::map<PromptPartId, int> ListQuarantined() const;
   /// Crashes of at most this age that still have suspects.
   std::vector<EngineCrash> ListCrashes(Duration max_age) const;
@@ -92,6 +99,8 @@
   const Clock& clock_;
   std::map<EngineProcess, Crash> crashes_;
   std::map<PromptPartId, Quarantined> quarantined_;
+  // Ends of the quarantines that records tell of.
+  std::map<PromptPartId, MonotonicTime> recorded_;
   // Most recently answered first.
   std::list<AnsweredPart> answered_;
   std::unordered_map<PromptPartId, std::list<AnsweredPart>::iterator>
--- a/tests/forwarding/crashing_prompts_test.cc
+++ b/tests/forwarding/crashing_prompts_test.cc
@@ -106,6 +106,31 @@
   CHECK(harness.CountCrashingSends() == sends);
 }
 
+// Guards against a quarantine that ends with the processes that know of it.
+TEST_CASE("a quarantine outlasts the end of all entries") {
+  ModelEnginesHarness harness(6);
+  harness.crashing_parts = {PromptPartId("bad")};
+  PlayCrashingPrompts(harness, 100);
+  const int sends = harness.CountCrashingSends();
+  REQUIRE(sends > 0);
+  for (const auto& node : harness.nodes) {
+    node->Kill();
+  }
+  harness.Steps(10);
+  harness.AddNodes(6, "restarted-");
+  harness.Steps(static_cast<int>(kReactionTime / ModelEnginesHarness::kStep));
+  for (std::size_t node = 6; node < harness.size(); ++node) {
+    const auto refused = harness.Ask(node, {"common", "bad"});
+    CHECK(refused->refusal);
+    const auto sound = harness.Ask(node, {"common"});
+    harness.Steps(30);
+    CHECK(sound->has_ended);
+  }
+  CHECK(harness.CountCrashingSends() == sends);
+  // One record, however many entries know of the part.
+  CHECK(harness.model.List("kingcupdrift/quarantine/").size() == 1);
+}
+
 // Guards against messages between entries that arrive late.
 TEST_CASE("entries that hear each other late hold crashing prompts back") {
   for (const int delay_ms : {100, 400, 700}) {
--- a/tests/forwarding/prompt_part_quarantine_test.cc
+++ b/tests/forwarding/prompt_part_quarantine_test.cc
@@ -158,6 +158,26 @@
   CHECK_FALSE(harness.IsHeldBack(kBad));
 }
 
+TEST_CASE("a record holds a part back until it is deleted or answered") {
+  QuarantineHarness harness;
+  harness.quarantine.AddRecord(kBad);
+  harness.quarantine.AddRecord(kCommon);
+  CHECK(harness.IsHeldBack(kBad));
+  // A crash that the record explains is not blamed on another part.
+  for (int i = 0; i < 3; ++i) {
+    harness.Crash({PromptPartId("other"), kBad});
+  }
+  CHECK_FALSE(harness.IsHeldBack(PromptPartId("other")));
+  harness.quarantine.RemoveRecord(kBad);
+  CHECK_FALSE(harness.IsHeldBack(kBad));
+  harness.quarantine.AddSuccess({kCommon}, Duration::zero());
+  CHECK_FALSE(harness.IsHeldBack(kCommon));
+  harness.quarantine.AddRecord(kBad);
+  harness.clock.Advance(PromptPartQuarantine::kQuarantineTime);
+  CHECK_FALSE(harness.IsHeldBack(kBad));
+  CHECK(harness.quarantine.ListQuarantined().empty());
+}
+
 TEST_CASE("evidence stays bounded") {
   QuarantineHarness harness;
   for (std::size_t i = 0; i < 2 * PromptPartQuarantine::kMaxAnsweredParts;
