Take a stream without events that ends with its connection as broken off

Cause: an answer with neither length nor chunks ends with its connection, and so does that of an engine that crashes. Before the first event a stream was passed on as complete and empty, and counted as proof that its prompt crashes no engine. Change: such a stream is an interrupted attempt, unless the caller resumes it and may have its last event. Chunks still tell their end.

--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -95,6 +95,13 @@
           "the stream ended inside an event");
       return;
     }
+    // A resumed stream may have no further event.
+    if (!has_begun_ && response_head_.ends_with_connection &&
+        !framer_->last_event_id()) {
+      End(ForwardAttemptOutcome::kInterrupted,
+          "the connection ended before the stream's first event");
+      return;
+    }
     if (!has_begun_) {
       has_begun_ = true;
       owner_.OnStreamBegin(response_head_.status, response_head_.headers);
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -85,8 +85,8 @@
   bool Admit();
   /// Time for which no prompt with one of this prompt's parts may be sent.
   Duration GetQuarantineLeft() const;
-  void RefuseQuarantined();
-  /// The answer of the present attempt shows that its engine stands the prompt.
+  void HandleQuarantined();
+  /// The present attempt was answered, so its prompt does not crash engines.
   void ReportAnswered();
   bool TryDispatch();
   PlacementResult Choose(SendPlan& plan);
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -73,7 +73,7 @@
                       : Duration::zero();
 }
 
-void ForwardRequest::RefuseQuarantined() {
+void ForwardRequest::HandleQuarantined() {
   constexpr std::string_view kReason = "a part of the prompt crashes engines";
   if (has_begun_ || may_have_run_) {
     AbortOrRefuse(kReason);
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -16,7 +16,7 @@
 
 bool ForwardRequest::TryDispatch() {
   if (GetQuarantineLeft() > Duration::zero()) {
-    RefuseQuarantined();
+    HandleQuarantined();
     return true;
   }
   SendPlan plan;
--- a/tests/forwarding/stream_end_test.cc
+++ b/tests/forwarding/stream_end_test.cc
@@ -64,6 +64,35 @@
   CHECK_FALSE(caller->stream_status);
 }
 
+// Guards against an engine that crashes before its first event and whose
+// connection ends as that of a whole answer would.
+TEST_CASE(
+    "a stream that ends with its connection before any event is no answer") {
+  ForwardingHarness harness;
+  harness.AddEngines(2);
+  const auto caller = harness.Handle(ForwardingHarness::Prompt(5000));
+  const auto end_at_once = [&](std::size_t i, bool ends_with_connection) {
+    TargetResponseHead head;
+    head.status = 200;
+    head.request = harness.send(i).request;
+    head.ends_with_connection = ends_with_connection;
+    harness.send(i).observer->OnResponseHead(head);
+    harness.send(i).observer->OnEnd();
+  };
+  end_at_once(0, true);
+  CHECK_FALSE(caller->IsOver());
+  REQUIRE(harness.targets.sends.size() == 2);
+  // Chunks tell their end.
+  end_at_once(1, false);
+  CHECK(caller->has_ended);
+  // A resumed stream may have ended with the caller's last event.
+  ForwardCall resumed = ForwardingHarness::Prompt(5000);
+  resumed.last_event_id = 7;
+  const auto rest = harness.Handle(std::move(resumed));
+  end_at_once(2, true);
+  CHECK(rest->has_ended);
+}
+
 // Guards against memory that grows with what a faulty engine sends.
 TEST_CASE("an event or an answer that never ends is broken off") {
   const std::string bytes(100'000, 'x');
--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -194,6 +194,14 @@
   CHECK(pause(503, "inf") == std::chrono::hours(24));
 }
 
+TEST_CASE("an answer without length and chunks ends with its connection") {
+  CHECK(DecodeAnswer(200, {}).ends_with_connection);
+  CHECK_FALSE(
+      DecodeAnswer(200, {{"content-length", "0"}}).ends_with_connection);
+  CHECK_FALSE(DecodeAnswer(200, {{"Transfer-Encoding", "chunked"}})
+                  .ends_with_connection);
+}
+
 TEST_CASE("an engine's limit is decoded, and ends with an answer without it") {
   const auto notice = [](const std::string& value) {
     return DecodeNotice(200, {{"Request-Id", "9c"}, {"Server-Limit", value}},
