Let no entry outside the serving group send to limited engines

Cause: senders of an engine with a limit are the first three of the group by hash. An entry that is not in the group compared its own hash with the group's all the same, so that in a fleet of 195 entries 51 were senders of one engine. Change: only members of the group are senders; entries in reserve and draining ones are not. Result: the new test counted 51 senders before and counts 3; all 139 forwarding cases pass. Found by reading.

--- a/src/kingcupdrift/forwarding/target_rate_limiter.cc
+++ b/src/kingcupdrift/forwarding/target_rate_limiter.cc
@@ -70,7 +70,10 @@
   const auto ahead = static_cast<std::size_t>(std::count_if(
       entries_.begin(), entries_.end(),
       [&](const InstanceId& it) { return rank(it) > rank(own_); }));
-  const bool is_sender = ahead < senders;
+  // Entries in reserve and draining ones are not among them.
+  const bool is_member =
+      std::binary_search(entries_.begin(), entries_.end(), own_);
+  const bool is_sender = is_member && ahead < senders;
   limit.own_rate = is_sender ? std::max(limit.requests_per_second.value_or(0),
                                         kMinRequestsPerSecond) /
                                    static_cast<double>(senders)
--- a/tests/forwarding/target_rate_limiter_test.cc
+++ b/tests/forwarding/target_rate_limiter_test.cc
@@ -80,6 +80,22 @@
   }
 }
 
+// Guards against fleets with more entries than the group that serves, where
+// each entry outside the group would be a further sender.
+TEST_CASE("an entry outside the group is no sender") {
+  constexpr int kFleetSize = 195;
+  constexpr int kGroupSize = 16;
+  ManualClock clock;
+  std::size_t senders = 0;
+  for (const InstanceId& own : Entries(kFleetSize)) {
+    TargetRateLimiter limiter(clock, own);
+    limiter.SetEntries(Entries(kGroupSize));
+    limiter.Update(Limit(3));
+    senders += limiter.GetDelay(kEngine) ? 1 : 0;
+  }
+  CHECK(senders == TargetRateLimiter::kSenders);
+}
+
 TEST_CASE("other entries are told of changes at once and else at intervals") {
   ManualClock clock;
   TargetRateLimiter limiter(clock, InstanceId("entry-0"));
