Resolve the linter's findings in the new code

Change: plain numbers of bytes (128,000 and 8,000,000), an extracted map node, a reserve. No behaviour changes beyond the rounder limits.

--- a/src/kingcupdrift/forwarding/internal/quarantine_records.cc
+++ b/src/kingcupdrift/forwarding/internal/quarantine_records.cc
@@ -58,13 +58,10 @@
 PromptPartId QuarantineRecords::Apply(const std::string& key,
                                       const std::optional<StoreValue>& value) {
   if (!value) {
-    const auto it = recorded_.find(key);
-    const PromptPartId part =
-        it == recorded_.end() ? PromptPartId() : it->second;
-    recorded_.erase(key);
-    return part;
+    const auto node = recorded_.extract(key);
+    return node.empty() ? PromptPartId() : node.mapped();
   }
-  const PromptPartId part(GetStringField(ParseJson(value->value), "part"));
+  PromptPartId part(GetStringField(ParseJson(value->value), "part"));
   if (part.empty()) {
     kLog.Warning("Ignored the record {}: it names no part of a prompt.", key);
     return part;
--- a/src/kingcupdrift/net/internal/client_connection.h
+++ b/src/kingcupdrift/net/internal/client_connection.h
@@ -65,10 +65,10 @@
   const Endpoint& server() const { return server_; }
 
   /// Most bytes up to the end of the response head, interim responses included.
-  static constexpr std::size_t kMaxHeadBytes = 128 * 1024;
+  static constexpr std::size_t kMaxHeadBytes = 128'000;
   /// Most bytes that wait for the rest of a chunk or of its size line, which
   /// libevent does not limit.
-  static constexpr std::size_t kMaxUnreadBytes = 8 * 1024 * 1024;
+  static constexpr std::size_t kMaxUnreadBytes = 8'000'000;
 
  private:
   static int OnHeaders(evhttp_request* request, void* arg);
--- a/tests/forwarding/target_rate_limiter_test.cc
+++ b/tests/forwarding/target_rate_limiter_test.cc
@@ -22,6 +22,7 @@
 
 std::vector<InstanceId> Entries(int count) {
   std::vector<InstanceId> entries;
+  entries.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     entries.emplace_back("entry-" + std::to_string(i));
   }
