Log which requests do the same work

Cause: each attempt of a caller has another identifier, so logs can't tell whether one request without a prompt was in progress at each target that ended.

--- a/src/kingcupdrift/base/strong_id.h
+++ b/src/kingcupdrift/base/strong_id.h
@@ -42,6 +42,9 @@
 /// or a plain HTTP service.
 using ServiceId = StrongId<struct ServiceTag>;
 using SiteId = StrongId<struct SiteTag>;
+/// What requests that do the same work have in common: a shared part of their
+/// prompts, or the digest of the whole request.
+using WorkKey = StrongId<struct WorkKeyTag>;
 using WorkspaceId = StrongId<struct WorkspaceTag>;
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/forwarding/forwarding.h
+++ b/src/kingcupdrift/forwarding/forwarding.h
@@ -18,5 +18,6 @@
 #include "kingcupdrift/forwarding/target_directory.h"     // IWYU pragma: export
 #include "kingcupdrift/forwarding/target_health.h"        // IWYU pragma: export
 #include "kingcupdrift/forwarding/target_rate_limiter.h"  // IWYU pragma: export
+#include "kingcupdrift/forwarding/work_key.h"             // IWYU pragma: export
 
 #endif  // KINGCUPDRIFT_FORWARDING_FORWARDING_H_
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "kingcupdrift/forwarding/work_key.h"
+
 namespace kingcupdrift {
 
 ForwardRequest::ForwardRequest(ForwardContext& context,
@@ -60,6 +62,7 @@
     Refuse(ForwardRefusalType::kUnknownKey, "the caller's key is not valid");
     return false;
   }
+  work_key_ = MakeRequestKey(call_, workspace_);
   service_ = RouteTable::ChooseService(*route_, context_.random);
   Duration limit = route_->time_limit;
   if (call_.time_limit) {
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -165,6 +165,8 @@
   const RouteRule* route_ = nullptr;
   ServiceId service_;
   WorkspaceId workspace_;
+  // Empty until the request is admitted.
+  WorkKey work_key_;
   MonotonicTime arrival_;
   MonotonicTime deadline_;
   std::unique_ptr<Timer> deadline_timer_;
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -133,6 +133,7 @@
                                     ? context_.clock.Now() - *attempt_begun_at_
                                     : Duration::zero())
       .Text("parts", JoinSharedParts())
+      .Text("work", work_key_.value())
       .Text("cause", result.detail);
   if (!IsIdempotent() || !TryRetry(true)) {
     AbortOrRefuse(result.detail);
