Test that a repeated request that crashes targets stops reaching them

Cause: entries retry and accept a request without a prompt that ends every target which begins to run it; for a prompt they hold back its shared part. Change: the harness of entries before model engines also has plain targets and requests that are bad by their body. A test of what operators state, on safe, non-idempotent and streaming routes: at most three repeats reach targets later than 3 s after the third crash, and all sound requests with the same path or the same shared part are answered.

--- /dev/null
+++ b/tests/forwarding/crashing_requests_test.cc
@@ -0,0 +1,96 @@
+// One request that crashes each target which begins to run it, and that comes
+// again and again at any entry (serving process).
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/forwarding/model_engines_harness.h"
+
+namespace kingcupdrift::fakes {
+namespace {
+
+/// As the operators state: time after the third crash from which at most
+/// `kMaxLateSends` repeats may reach targets.
+constexpr Duration kReactionTime = std::chrono::seconds(3);
+constexpr int kMaxLateSends = 3;
+constexpr int kCountedCrashes = 3;
+constexpr int kPlainTargets = 3;
+
+struct Outcome {
+  int late_sends = 0;
+  int sound = 0;
+  int sound_answered = 0;
+};
+
+/// Every 0.2 s one entry gets the crashing request, and every 0.1 s one gets
+/// sound ones that share its path or its body. Those of the time after the
+/// reaction are in the outcome.
+Outcome PlayRepeatedRequest(ModelEnginesHarness& harness,
+                            const std::string& path,
+                            int steps) {
+  Outcome outcome;
+  std::vector<std::shared_ptr<CallerRecord>> sound;
+  std::optional<int> reaction_end;
+  std::optional<int> sends_before;
+  std::size_t node = 0;
+  const auto next_node = [&] {
+    do {
+      node = (node + 1) % harness.size();
+    } while (!harness.nodes[node]->is_running);
+    return node;
+  };
+  for (int i = 0; i < steps; ++i) {
+    if (i % 4 == 0) {
+      harness.Ask(next_node(), path + "x", "bad");
+    }
+    if (i % 2 == 0) {
+      const auto same_path = harness.Ask(next_node(), path + "x", "sound");
+      const auto other =
+          harness.Ask(next_node(), path + "x", "sound " + std::to_string(i));
+      if (sends_before) {
+        sound.push_back(same_path);
+        sound.push_back(other);
+      }
+    }
+    harness.Step();
+    if (!reaction_end && harness.crashes() >= kCountedCrashes) {
+      reaction_end =
+          i + static_cast<int>(kReactionTime / ModelEnginesHarness::kStep);
+    }
+    if (!sends_before && reaction_end && i >= *reaction_end) {
+      sends_before = harness.CountCrashingSends();
+    }
+  }
+  harness.Steps(30);
+  REQUIRE(sends_before);
+  outcome.late_sends = harness.CountCrashingSends() - *sends_before;
+  outcome.sound = static_cast<int>(sound.size());
+  for (const auto& it : sound) {
+    outcome.sound_answered += it->has_ended || it->reply ? 1 : 0;
+  }
+  return outcome;
+}
+
+// Guards against crash loops of one repeated request: without a shared part of
+// a prompt nothing told that it was the same one, and it was sent again.
+TEST_CASE("a repeated request that crashes targets stops reaching them") {
+  for (const std::string path : {"/safe/", "/once/", "/prompt/"}) {
+    for (const int entries : {1, 6, 24}) {
+      CAPTURE(path);
+      CAPTURE(entries);
+      ModelEnginesHarness harness(entries);
+      harness.AddPlainTargets(kPlainTargets);
+      harness.crashing_bodies = {"bad"};
+      const Outcome outcome = PlayRepeatedRequest(harness, path, 240);
+      CHECK(outcome.late_sends <= kMaxLateSends);
+      CHECK(outcome.sound > 0);
+      CHECK(outcome.sound_answered == outcome.sound);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace kingcupdrift::fakes
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -80,7 +80,7 @@
                  request.last_event_id, request.helpers,
                  request.call->prompt ? request.call->prompt->shared_parts
                                       : std::vector<PromptPartId>(),
-                 &observer});
+                 *request.call->body, &observer});
   sends.push_back(send);
   return std::make_unique<FakeTargetCall>(send);
 }
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -32,6 +32,7 @@
   std::optional<std::uint64_t> last_event_id;
   std::vector<PrefillHelper> helpers;
   std::vector<PromptPartId> shared_parts;
+  std::string body;
   /// Null once the forwarder has closed the connection.
   TargetObserver* observer = nullptr;
 };
--- a/tests/forwarding/model_engines_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -8,6 +8,8 @@
 /// Events of a whole answer.
 constexpr int kEvents = 20;
 constexpr std::int64_t kPromptTokens = 2000;
+const std::string kModelService = "model";
+const std::string kPlainService = "plain";
 
 std::string KeyOf(const EngineId& engine) {
   return "targets/" + engine.value();
@@ -20,19 +22,48 @@
                                          int engines)
     : GatewayHarness(entries, peer_delay) {
   for (int i = 0; i < engines; ++i) {
-    AddEngine();
+    AddEngine(kModelService);
   }
   Steps(4);
 }
 
-void ModelEnginesHarness::AddEngine() {
+void ModelEnginesHarness::AddEngine(const std::string& service) {
   const EngineId id("engine-" + std::to_string(next_engine_++));
-  engines_.insert(id);
-  Put(KeyOf(id), "ready 1 model");
+  engines_[id] = service;
+  Put(KeyOf(id), "ready 1 " + service);
+}
+
+void ModelEnginesHarness::AddPlainTargets(int count) {
+  Delete("targets/t1");
+  for (int i = 0; i < count; ++i) {
+    AddEngine(kPlainService);
+  }
+  Steps(4);
 }
 
 std::vector<EngineId> ModelEnginesHarness::ListEngines() const {
-  return {engines_.begin(), engines_.end()};
+  std::vector<EngineId> ids;
+  for (const auto& [id, service] : engines_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+std::shared_ptr<CallerRecord> ModelEnginesHarness::Ask(
+    std::size_t node,
+    const std::string& path,
+    const std::string& body) {
+  ForwardCall call = ForwardingHarness::Call(path);
+  call.id = RequestId("request-" + std::to_string(next_request_++));
+  call.key = "kept";
+  call.body = std::make_shared<const std::string>(body);
+  if (path.starts_with("/prompt/")) {
+    call.prompt = ForwardingHarness::Prompt(kPromptTokens).prompt;
+    call.prompt->shared_parts = {PromptPartId("common")};
+  }
+  auto record = std::make_shared<CallerRecord>();
+  nodes.at(node)->gateway->Handle(std::move(call), MakeRecordingSink(record));
+  return record;
 }
 
 std::shared_ptr<CallerRecord> ModelEnginesHarness::Ask(
@@ -50,11 +81,13 @@
 }
 
 void ModelEnginesHarness::Crash(const EngineId& engine) {
-  if (engines_.erase(engine) == 0) {
+  const auto found = engines_.find(engine);
+  if (found == engines_.end()) {
     return;
   }
   ++crashes_;
-  restarts_.push_back(step_ + kRestartSteps);
+  restarts_.push_back({step_ + restart_steps, found->second});
+  engines_.erase(found);
   for (const auto& node : nodes) {
     node->targets.unresponsive.insert(engine);
     // A broken attempt may be sent again, which adds to the list.
@@ -68,18 +101,33 @@
   Delete(KeyOf(engine));
 }
 
+bool ModelEnginesHarness::IsCrashing(const TargetSend& send) const {
+  return crashing_bodies.contains(send.body) ||
+         std::any_of(send.shared_parts.begin(), send.shared_parts.end(),
+                     [this](const PromptPartId& it) {
+                       return crashing_parts.contains(it);
+                     });
+}
+
 void ModelEnginesHarness::AnswerSend(GatewayNode& node, TargetSend& send) {
-  if (!engines_.contains(send.target.id)) {
+  const auto engine = engines_.find(send.target.id);
+  if (engine == engines_.end()) {
     send.observer->OnFailed({ErrorCode::kUnavailable, "refused"});
     return;
   }
-  const bool crashes = std::any_of(
-      send.shared_parts.begin(), send.shared_parts.end(),
-      [this](const PromptPartId& it) { return crashing_parts.contains(it); });
-  if (crashes) {
+  if (IsCrashing(send)) {
     Crash(send.target.id);
     return;
   }
+  if (engine->second == kPlainService) {
+    TargetResponseHead head;
+    head.status = 200;
+    head.request = send.request;
+    send.observer->OnResponseHead(head);
+    send.observer->OnBytes("answer");
+    send.observer->OnEnd();
+    return;
+  }
   const int event = ++events_[send.request];
   if (event == 1 || send.last_event_id) {
     EngineNotice notice;
@@ -127,10 +175,15 @@
   for (const auto& node : nodes) {
     node->targets.AnswerPendingCalls();
   }
-  const auto due = std::erase_if(
-      restarts_, [this](int at_step) { return at_step <= step_; });
-  for (std::size_t i = 0; i < due; ++i) {
-    AddEngine();
+  std::vector<std::string> due;
+  std::erase_if(restarts_, [this, &due](const Restart& it) {
+    if (it.step <= step_) {
+      due.push_back(it.service);
+    }
+    return it.step <= step_;
+  });
+  for (const std::string& it : due) {
+    AddEngine(it);
   }
 }
 
@@ -144,12 +197,7 @@
   int n = 0;
   for (const auto& node : nodes) {
     for (const auto& it : node->targets.sends) {
-      n += std::any_of(it->shared_parts.begin(), it->shared_parts.end(),
-                       [this](const PromptPartId& part) {
-                         return crashing_parts.contains(part);
-                       })
-               ? 1
-               : 0;
+      n += IsCrashing(*it) ? 1 : 0;
     }
   }
   return n;
--- a/tests/forwarding/model_engines_harness.h
+++ b/tests/forwarding/model_engines_harness.h
@@ -11,8 +11,9 @@
 
 namespace kingcupdrift::fakes {
 
-/// Entries before model engines. An engine ends when it begins to answer a
-/// prompt with a crashing part, and is back after a while as another one.
+/// Entries before model engines and plain targets. One of them ends when it
+/// begins to answer a request with a crashing part or body, and is back after a
+/// while as another one.
 class ModelEnginesHarness : public GatewayHarness {
  public:
   /// `peer_delay` is that of each message between entries.
@@ -24,14 +25,22 @@
   /// Sends a prompt with these shared parts to the entry `node`.
   std::shared_ptr<CallerRecord> Ask(std::size_t node,
                                     const std::vector<std::string>& parts);
+  /// Sends a request with this path and body to the entry `node`.
+  std::shared_ptr<CallerRecord> Ask(std::size_t node,
+                                    const std::string& path,
+                                    const std::string& body);
+  /// Replaces all targets of the plain service by `count` new ones.
+  void AddPlainTargets(int count);
   /// Lets the engines work for `kStep`.
   void Step();
   void Steps(int count);
   /// Ends the engine: its connections break and it answers no check.
   void Crash(const EngineId& engine);
+  /// Model engines and plain targets.
   std::vector<EngineId> ListEngines() const;
 
-  /// Prompts with a crashing part that reached engines, repeats included.
+  /// Requests with a crashing part or body that reached engines, repeats
+  /// included.
   int CountCrashingSends() const;
   int crashes() const { return crashes_; }
   std::size_t size() const { return nodes.size(); }
@@ -43,21 +52,28 @@
   int step() const { return step_; }
 
   std::set<PromptPartId> crashing_parts;
+  std::set<std::string> crashing_bodies;
   /// Requests a second that engines name as their limit in each answer.
   std::map<EngineId, double> limits;
 
   static constexpr Duration kStep = std::chrono::milliseconds(50);
   static constexpr int kEngines = 24;
   /// Steps in which a crashed engine is away.
-  static constexpr int kRestartSteps = 40;
+  int restart_steps = 40;
 
  private:
-  void AddEngine();
+  struct Restart {
+    int step = 0;
+    std::string service;
+  };
+
+  void AddEngine(const std::string& service);
+  bool IsCrashing(const TargetSend& send) const;
   void AnswerSend(GatewayNode& node, TargetSend& send);
 
-  std::set<EngineId> engines_;
-  /// Steps at which a crashed engine is back.
-  std::vector<int> restarts_;
+  /// Services of the running engines.
+  std::map<EngineId, std::string> engines_;
+  std::vector<Restart> restarts_;
   std::map<RequestId, int> events_;
   std::map<EngineId, std::vector<int>> arrivals_;
   // Sends of each entry that are in `arrivals_`.
