Hold back repeated requests that crash the targets that run them

Callers saw: bed-hold and bed-lookup refused for seconds at a time, since one request ended all three targets of the service again and again. Cause: a query of death. The quarantine knew shared parts of prompts only. A request without a prompt had no name in it, broken connections to plain targets were not even checked, and for a repeated prompt its sound shared part was blamed. Change: the quarantine holds keys of work: shared parts, and the digest of a whole request. Lost connections to any target are evidence once a check finds its process gone; a target that is only silent is none. A request is blamed before the parts that it shares; of requests that the same crashes interrupted none is blamed until a crash or an answer tells them apart, or the fifth crash. A new process under the same identifier shows that the earlier one ended. The harness of crashing prompts now gives each prompt a body of its own, since no two are alike there.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -2,12 +2,14 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
 
 #include "kingcupdrift/forwarding/internal/forward_context.h"
 #include "kingcupdrift/forwarding/internal/forward_request.h"
+#include "kingcupdrift/forwarding/work_key.h"
 
 namespace kingcupdrift {
 namespace {
@@ -169,13 +171,12 @@
     context_.crash_monitor.Apply(evidence);
   }
 
-  std::vector<PromptPartId> ListQuarantinedParts() const override {
+  std::vector<WorkKey> ListQuarantined() const override {
     return context_.crash_monitor.ListQuarantined();
   }
 
-  void ApplyQuarantineRecord(const PromptPartId& part,
-                             bool is_present) override {
-    context_.crash_monitor.ApplyRecord(part, is_present);
+  void ApplyQuarantineRecord(const WorkKey& key, bool is_present) override {
+    context_.crash_monitor.ApplyRecord(key, is_present);
   }
 
   CrashEvidence ListCrashEvidence(Duration max_age) const override {
@@ -230,8 +231,13 @@
     add_gauge("kingcupdrift_targets_paused", context_.health.CountPaused());
     add_gauge("kingcupdrift_targets_limited",
               context_.rate_limiter.CountLimited());
+    const std::vector<WorkKey> quarantined =
+        context_.crash_monitor.ListQuarantined();
+    const auto requests = static_cast<std::size_t>(
+        std::count_if(quarantined.begin(), quarantined.end(), IsRequestKey));
     add_gauge("kingcupdrift_prompt_parts_quarantined",
-              context_.crash_monitor.ListQuarantined().size());
+              quarantined.size() - requests);
+    add_gauge("kingcupdrift_requests_quarantined", requests);
     const auto add_counter = [&out](const std::string& name,
                                     std::uint64_t value) {
       out += "# TYPE " + name + " counter\n" + name + " " +
@@ -270,13 +276,14 @@
         .Text("source", source);
   }
 
-  // Pauses and failures of an engine's earlier process say nothing about the
-  // one that the record describes.
+  // Pauses and failures of an engine's earlier process, which has ended, say
+  // nothing about the one that the record describes.
   void ForgetEarlierProcess(const TargetRecord& record) {
     const TargetRecord* const listed =
         context_.directory.Find(record.address.id);
     if (listed != nullptr &&
         listed->address.incarnation < record.address.incarnation) {
+      context_.crash_monitor.OnEngineDown(listed->address);
       context_.health.Forget(record.address.id);
       context_.rate_limiter.Forget(record.address.id);
     }
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -97,7 +97,7 @@
   /// Entries, this one included, among which the limits of engines are divided;
   /// this one alone before the first call.
   virtual void SetSendingEntries(std::vector<InstanceId> entries) = 0;
-  /// Called with evidence about parts of prompts that may crash engines, for
+  /// Called with evidence about work that may crash engines, for
   /// the other entries.
   using CrashEvidenceListener = std::function<void(const CrashEvidence&)>;
   virtual void SetCrashEvidenceListener(CrashEvidenceListener listener) = 0;
@@ -105,11 +105,10 @@
   virtual void ApplyCrashEvidence(const CrashEvidence& evidence) = 0;
   /// Crashes of at most this age, from this and other entries.
   virtual CrashEvidence ListCrashEvidence(Duration max_age) const = 0;
-  /// Parts of prompts that are held back.
-  virtual std::vector<PromptPartId> ListQuarantinedParts() const = 0;
-  /// The store's record of a part that is held back was read, or deleted.
-  virtual void ApplyQuarantineRecord(const PromptPartId& part,
-                                     bool is_present) = 0;
+  /// Keys of work that is held back.
+  virtual std::vector<WorkKey> ListQuarantined() const = 0;
+  /// The store's record of work that is held back was read, or deleted.
+  virtual void ApplyQuarantineRecord(const WorkKey& key, bool is_present) = 0;
   /// Checks an engine that another entry suspects to be down. Does nothing if
   /// the engine is not listed.
   virtual void CheckSuspect(const EngineId& engine) = 0;
--- a/src/kingcupdrift/forwarding/forwarding.h
+++ b/src/kingcupdrift/forwarding/forwarding.h
@@ -9,7 +9,6 @@
 #include "kingcupdrift/forwarding/forwarder.h"            // IWYU pragma: export
 #include "kingcupdrift/forwarding/gateway.h"              // IWYU pragma: export
 #include "kingcupdrift/forwarding/peer_state_exchange.h"  // IWYU pragma: export
-#include "kingcupdrift/forwarding/prompt_part_quarantine.h"  // IWYU pragma: export
 #include "kingcupdrift/forwarding/retry_budget_share.h"   // IWYU pragma: export
 #include "kingcupdrift/forwarding/route_table.h"          // IWYU pragma: export
 #include "kingcupdrift/forwarding/serving_config.h"       // IWYU pragma: export
@@ -19,5 +18,6 @@
 #include "kingcupdrift/forwarding/target_health.h"        // IWYU pragma: export
 #include "kingcupdrift/forwarding/target_rate_limiter.h"  // IWYU pragma: export
 #include "kingcupdrift/forwarding/work_key.h"             // IWYU pragma: export
+#include "kingcupdrift/forwarding/work_quarantine.h"      // IWYU pragma: export
 
 #endif  // KINGCUPDRIFT_FORWARDING_FORWARDING_H_
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -214,7 +214,7 @@
     forwarder_->SetSendingEntries(peer_exchange_.ListSendingEntries());
     election_.Update(recent, mirror_.IsStoreReachable(), is_serving);
     if (election_.is_first_reader()) {
-      quarantine_records_.Write(forwarder_->ListQuarantinedParts());
+      quarantine_records_.Write(forwarder_->ListQuarantined());
     }
     if (election_.should_read() == mirror_.is_reading()) {
       return;
@@ -256,10 +256,9 @@
       return;
     }
     if (event.key.starts_with(QuarantineRecords::kPrefix)) {
-      const PromptPartId part =
-          quarantine_records_.Apply(event.key, event.value);
-      if (!part.empty()) {
-        forwarder_->ApplyQuarantineRecord(part, event.value.has_value());
+      const WorkKey key = quarantine_records_.Apply(event.key, event.value);
+      if (!key.empty()) {
+        forwarder_->ApplyQuarantineRecord(key, event.value.has_value());
       }
       return;
     }
--- a/src/kingcupdrift/forwarding/internal/crash_monitor.cc
+++ b/src/kingcupdrift/forwarding/internal/crash_monitor.cc
@@ -3,18 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "kingcupdrift/forwarding/work_key.h"
+
 namespace kingcupdrift {
 
 void CrashMonitor::OnInterrupted(const EngineAddress& engine,
-                                 const std::vector<PromptPartId>& parts) {
-  if (parts.empty()) {
-    return;
-  }
+                                 const std::vector<WorkKey>& keys) {
   const MonotonicTime now = clock_.Now();
   std::erase_if(interrupted_, [now](const auto& it) {
     return now - it.second.back().time > kMatchTime;
   });
-  interrupted_[engine.id].push_back({now, parts});
+  interrupted_[engine.id].push_back({now, keys});
   if (health_.IsDown(engine.id)) {
     ReportCrash(engine);
   }
@@ -28,13 +27,13 @@
 
 void CrashMonitor::ReportCrash(const EngineAddress& engine) {
   EngineCrash crash{engine.id, engine.incarnation, Duration::zero(), {}};
-  std::map<PromptPartId, std::size_t> positions;
+  std::map<WorkKey, std::size_t> positions;
   for (const Interrupted& it : interrupted_[engine.id]) {
     if (clock_.Now() - it.time > kMatchTime) {
       continue;
     }
-    for (std::size_t i = 0; i < it.parts.size(); ++i) {
-      std::size_t& position = positions[it.parts[i]];
+    for (std::size_t i = 0; i < it.keys.size(); ++i) {
+      std::size_t& position = positions[it.keys[i]];
       position = std::max(position, i);
     }
   }
@@ -42,10 +41,15 @@
   if (positions.empty()) {
     return;
   }
-  for (const auto& [part, position] : positions) {
-    if (crash.suspects.size() < PromptPartQuarantine::kMaxSuspects) {
-      crash.suspects.push_back({part, position});
-    }
+  for (const auto& [key, position] : positions) {
+    crash.suspects.push_back({key, position});
+  }
+  // The most specific ones stay if there are too many.
+  std::stable_partition(
+      crash.suspects.begin(), crash.suspects.end(),
+      [](const SuspectWork& it) { return IsRequestKey(it.key); });
+  if (crash.suspects.size() > WorkQuarantine::kMaxSuspects) {
+    crash.suspects.resize(WorkQuarantine::kMaxSuspects);
   }
   CrashEvidence evidence;
   evidence.successes = quarantine_.AddCrash(crash);
@@ -54,9 +58,9 @@
   LogChanges();
 }
 
-void CrashMonitor::OnAnswered(const std::vector<PromptPartId>& parts) {
+void CrashMonitor::OnAnswered(const std::vector<WorkKey>& keys) {
   CrashEvidence evidence;
-  evidence.successes = quarantine_.AddSuccess(parts, Duration::zero());
+  evidence.successes = quarantine_.AddSuccess(keys, Duration::zero());
   if (!evidence.empty()) {
     listener_(evidence);
     LogChanges();
@@ -64,20 +68,20 @@
 }
 
 void CrashMonitor::Apply(const CrashEvidence& evidence) {
-  // One success for each part, also if it is a suspect of many crashes.
-  std::map<PromptPartId, PromptPartSuccess> known_successes;
+  // One success for each key, also if it is a suspect of many crashes.
+  std::map<WorkKey, WorkSuccess> known_successes;
   for (const EngineCrash& it : evidence.crashes) {
-    for (const PromptPartSuccess& success : quarantine_.AddCrash(it)) {
-      if (known_successes.size() < PromptPartQuarantine::kMaxSuspects) {
-        known_successes.emplace(success.part, success);
+    for (const WorkSuccess& success : quarantine_.AddCrash(it)) {
+      if (known_successes.size() < WorkQuarantine::kMaxSuspects) {
+        known_successes.emplace(success.key, success);
       }
     }
   }
-  for (const PromptPartSuccess& it : evidence.successes) {
-    quarantine_.AddSuccess({it.part}, it.age);
+  for (const WorkSuccess& it : evidence.successes) {
+    quarantine_.AddSuccess({it.key}, it.age);
   }
   CrashEvidence known;
-  for (const auto& [part, success] : known_successes) {
+  for (const auto& [key, success] : known_successes) {
     known.successes.push_back(success);
   }
   if (!known.empty()) {
@@ -90,42 +94,45 @@
   return {quarantine_.ListCrashes(max_age), {}};
 }
 
-std::vector<PromptPartId> CrashMonitor::ListQuarantined() const {
-  std::vector<PromptPartId> parts;
-  for (const auto& [part, crashes] : quarantine_.ListQuarantined()) {
-    parts.push_back(part);
+std::vector<WorkKey> CrashMonitor::ListQuarantined() const {
+  std::vector<WorkKey> keys;
+  for (const auto& [key, crashes] : quarantine_.ListQuarantined()) {
+    keys.push_back(key);
   }
-  return parts;
+  return keys;
 }
 
-void CrashMonitor::ApplyRecord(const PromptPartId& part, bool is_present) {
+void CrashMonitor::ApplyRecord(const WorkKey& key, bool is_present) {
   if (is_present) {
-    quarantine_.AddRecord(part);
+    quarantine_.AddRecord(key);
   } else {
-    quarantine_.RemoveRecord(part);
+    quarantine_.RemoveRecord(key);
   }
   LogChanges();
 }
 
 void CrashMonitor::LogChanges() {
-  std::map<PromptPartId, int> now = quarantine_.ListQuarantined();
-  for (const auto& [part, crashes] : now) {
-    if (!logged_.contains(part)) {
-      log_.Add("forward", "quarantine")
-          .Text("part", part.value())
-          .Text("state", "held back")
-          .Number("crashes", crashes);
+  std::map<WorkKey, int> now = quarantine_.ListQuarantined();
+  for (const auto& [key, crashes] : now) {
+    if (!logged_.contains(key)) {
+      LogQuarantine(key, crashes, "held back");
     }
   }
-  for (const auto& [part, crashes] : logged_) {
-    if (!now.contains(part)) {
-      log_.Add("forward", "quarantine")
-          .Text("part", part.value())
-          .Text("state", "released")
-          .Number("crashes", crashes);
+  for (const auto& [key, crashes] : logged_) {
+    if (!now.contains(key)) {
+      LogQuarantine(key, crashes, "released");
     }
   }
   logged_ = std::move(now);
 }
 
+void CrashMonitor::LogQuarantine(const WorkKey& key,
+                                 int crashes,
+                                 std::string_view state) {
+  log_.Add("forward", "quarantine")
+      .Text(IsRequestKey(key) ? "work" : "part", key.value())
+      .Text("state", state)
+      .Number("crashes", crashes);
+}
+
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/forwarding/internal/crash_monitor.h
+++ b/src/kingcupdrift/forwarding/internal/crash_monitor.h
@@ -3,17 +3,18 @@
 
 #include <functional>
 #include <map>
+#include <string_view>
 #include <vector>
 
 #include "kingcupdrift/base/base.h"
-#include "kingcupdrift/forwarding/prompt_part_quarantine.h"
 #include "kingcupdrift/forwarding/target_health.h"
+#include "kingcupdrift/forwarding/work_quarantine.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 #include "kingcupdrift/telemetry/telemetry.h"
 
 namespace kingcupdrift {
 
-/// Finds out which prompts crash engines: matches interrupted prompts with
+/// Finds out which requests crash engines: matches interrupted requests with
 /// engines that are found down, and exchanges the evidence with other entries
 /// (serving processes), since each of them sees few of the crashes.
 class CrashMonitor {
@@ -27,31 +28,34 @@
   /// Called with evidence that the other entries need.
   void SetListener(Listener listener) { listener_ = std::move(listener); }
 
-  /// The engine interrupted a prompt with these parts that it had not answered
-  /// for `kProvingTime`. Counts as a crash if the engine is or will be found
-  /// down.
+  /// The engine lost the connection of a request with these keys that it had
+  /// not answered for `kProvingTime`; the keys of prompt parts come first, in
+  /// order. Counts as a crash if the engine's process is or will be found to
+  /// have ended.
   void OnInterrupted(const EngineAddress& engine,
-                     const std::vector<PromptPartId>& parts);
+                     const std::vector<WorkKey>& keys);
+  /// A check failed, or another process took the engine's place.
   void OnEngineDown(const EngineAddress& engine);
-  /// An engine answered a prompt with these parts whole, or for `kProvingTime`.
-  void OnAnswered(const std::vector<PromptPartId>& parts);
+  /// An engine answered a request with these keys whole, or for
+  /// `kProvingTime`.
+  void OnAnswered(const std::vector<WorkKey>& keys);
 
   /// Adds what another entry reports.
   void Apply(const CrashEvidence& evidence);
   /// Crashes known here, also from other entries, of at most this age.
   CrashEvidence ListEvidence(Duration max_age) const;
 
-  /// Time for which prompts with these parts must not be sent; zero if they may
+  /// Time for which requests with these keys must not be sent; zero if they may
   /// be.
-  Duration GetQuarantineLeft(const std::vector<PromptPartId>& parts) const {
-    return quarantine_.GetTimeLeft(parts);
+  Duration GetQuarantineLeft(const std::vector<WorkKey>& keys) const {
+    return quarantine_.GetTimeLeft(keys);
   }
-  std::vector<PromptPartId> ListQuarantined() const;
+  std::vector<WorkKey> ListQuarantined() const;
   /// A record of a quarantine was read from or deleted in the store.
-  void ApplyRecord(const PromptPartId& part, bool is_present);
+  void ApplyRecord(const WorkKey& key, bool is_present);
 
   /// Time from the first event on after which an answer counts as proof that
-  /// the prompt does not crash its engine.
+  /// the request does not crash its engine.
   static constexpr Duration kProvingTime = std::chrono::milliseconds(500);
   /// Longer than checks of an engine take.
   static constexpr Duration kMatchTime = std::chrono::seconds(2);
@@ -59,19 +63,20 @@
  private:
   struct Interrupted {
     MonotonicTime time;
-    std::vector<PromptPartId> parts;
+    std::vector<WorkKey> keys;
   };
 
   void ReportCrash(const EngineAddress& engine);
   void LogChanges();
+  void LogQuarantine(const WorkKey& key, int crashes, std::string_view state);
 
   const Clock& clock_;
   const TargetHealth& health_;
   DecisionLog& log_;
-  PromptPartQuarantine quarantine_;
+  WorkQuarantine quarantine_;
   std::map<EngineId, std::vector<Interrupted>> interrupted_;
-  // Parts in quarantine that were logged.
-  std::map<PromptPartId, int> logged_;
+  // Keys in quarantine that were logged.
+  std::map<WorkKey, int> logged_;
   Listener listener_ = [](const CrashEvidence&) {};
 };
 
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -92,14 +92,14 @@
   if (is_stream_) {
     if (framer_->HasPartialEvent()) {
       End(ForwardAttemptOutcome::kInterrupted,
-          "the stream ended inside an event");
+          "the stream ended inside an event", true);
       return;
     }
     // A resumed stream may have no further event.
     if (!has_begun_ && response_head_.ends_with_connection &&
         !framer_->last_event_id()) {
       End(ForwardAttemptOutcome::kInterrupted,
-          "the connection ended before the stream's first event");
+          "the connection ended before the stream's first event", true);
       return;
     }
     if (!has_begun_) {
@@ -131,7 +131,9 @@
   }
   End(is_unsent ? ForwardAttemptOutcome::kNotSent
                 : ForwardAttemptOutcome::kInterrupted,
-      std::move(error.detail));
+      std::move(error.detail),
+      error.code == ErrorCode::kUnknownEffect ||
+          error.code == ErrorCode::kConnectionLost);
 }
 
 void ForwardAttempt::RestartTimeoutTimer(Duration limit) {
@@ -145,11 +147,14 @@
   });
 }
 
-void ForwardAttempt::End(ForwardAttemptOutcome end, std::string detail) {
+void ForwardAttempt::End(ForwardAttemptOutcome end,
+                         std::string detail,
+                         bool is_connection_lost) {
   Cancel();
   ForwardAttemptResult result;
   result.end = end;
   result.detail = std::move(detail);
+  result.is_connection_lost = is_connection_lost;
   result.faulty_engine = response_head_.faulty_engine;
   result.response.status = response_head_.status;
   result.response.headers = std::move(response_head_.headers);
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -32,6 +32,9 @@
   /// The engine that the target blames for its refusal, perhaps a prefill
   /// helper; absent if it names none.
   std::optional<Endpoint> faulty_engine;
+  /// The target's connection was lost, so that its process may have ended. A
+  /// target that is only silent is no such case.
+  bool is_connection_lost = false;
   std::string detail;
 };
 
@@ -94,7 +97,9 @@
  private:
   void HandleStreamBytes(std::string_view bytes);
   void RestartTimeoutTimer(Duration limit);
-  void End(ForwardAttemptOutcome end, std::string detail);
+  void End(ForwardAttemptOutcome end,
+           std::string detail,
+           bool is_connection_lost = false);
 
   Clock& clock_;
   EngineAddress target_;
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -62,7 +62,12 @@
     Refuse(ForwardRefusalType::kUnknownKey, "the caller's key is not valid");
     return false;
   }
-  work_key_ = MakeRequestKey(call_, workspace_);
+  if (call_.prompt) {
+    for (const PromptPartId& it : call_.prompt->shared_parts) {
+      work_keys_.push_back(MakePartKey(it));
+    }
+  }
+  work_keys_.push_back(MakeRequestKey(call_, workspace_));
   service_ = RouteTable::ChooseService(*route_, context_.random);
   Duration limit = route_->time_limit;
   if (call_.time_limit) {
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -83,10 +83,11 @@
   enum class PlacementResult { kPlaced, kMustWait, kImpossible };
 
   bool Admit();
-  /// Time for which no prompt with one of this prompt's parts may be sent.
+  /// Time for which neither this request nor any prompt with one of its parts
+  /// may be sent.
   Duration GetQuarantineLeft() const;
   void HandleQuarantined();
-  /// The present attempt was answered, so its prompt does not crash engines.
+  /// The present attempt was answered, so its request does not crash engines.
   void ReportAnswered();
   bool TryDispatch();
   PlacementResult Choose(SendPlan& plan);
@@ -165,8 +166,9 @@
   const RouteRule* route_ = nullptr;
   ServiceId service_;
   WorkspaceId workspace_;
-  // Empty until the request is admitted.
-  WorkKey work_key_;
+  // The shared parts of the prompt and then the request itself. Empty until the
+  // request is admitted.
+  std::vector<WorkKey> work_keys_;
   MonotonicTime arrival_;
   MonotonicTime deadline_;
   std::unique_ptr<Timer> deadline_timer_;
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -57,24 +57,26 @@
     case ForwardAttemptOutcome::kInterrupted:
       excluded_targets_.insert(target);
       context_.health.OnFailure(target);
-      if (call_.prompt && !is_attempt_proven_) {
+      if (result.is_connection_lost && !is_attempt_proven_) {
         context_.crash_monitor.OnInterrupted(ended_attempts_.back()->target(),
-                                             call_.prompt->shared_parts);
+                                             work_keys_);
       }
       SuspectEngine(target);
+      if (result.is_connection_lost) {
+        context_.checker.CheckSuspect(ended_attempts_.back()->target());
+      }
       HandleInterrupted(result);
       return;
   }
 }
 
 Duration ForwardRequest::GetQuarantineLeft() const {
-  return call_.prompt ? context_.crash_monitor.GetQuarantineLeft(
-                            call_.prompt->shared_parts)
-                      : Duration::zero();
+  return context_.crash_monitor.GetQuarantineLeft(work_keys_);
 }
 
 void ForwardRequest::HandleQuarantined() {
-  constexpr std::string_view kReason = "a part of the prompt crashes engines";
+  constexpr std::string_view kReason =
+      "the request, or a part of its prompt, crashes engines";
   if (has_begun_ || may_have_run_) {
     AbortOrRefuse(kReason);
   } else {
@@ -83,8 +85,8 @@
 }
 
 void ForwardRequest::ReportAnswered() {
-  if (call_.prompt && !std::exchange(is_attempt_proven_, true)) {
-    context_.crash_monitor.OnAnswered(call_.prompt->shared_parts);
+  if (!std::exchange(is_attempt_proven_, true)) {
+    context_.crash_monitor.OnAnswered(work_keys_);
   }
 }
 
@@ -133,7 +135,7 @@
                                     ? context_.clock.Now() - *attempt_begun_at_
                                     : Duration::zero())
       .Text("parts", JoinSharedParts())
-      .Text("work", work_key_.value())
+      .Text("work", work_keys_.back().value())
       .Text("cause", result.detail);
   if (!IsIdempotent() || !TryRetry(true)) {
     AbortOrRefuse(result.detail);
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -120,7 +120,7 @@
       .Milliseconds("part", plan.part_prefill_time)
       .Number("prompt", call_.prompt ? call_.prompt->prompt.value() : 0)
       .Text("parts", JoinSharedParts())
-      .Text("work", work_key_.value())
+      .Text("work", work_keys_.back().value())
       .Number("send", sends_)
       .Milliseconds("waited", context_.clock.Now() - arrival_)
       .Milliseconds("predicted", plan.predicted_time_to_first_event)
--- a/src/kingcupdrift/forwarding/peer_state_exchange.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <variant>
 
-#include "kingcupdrift/forwarding/prompt_part_quarantine.h"
+#include "kingcupdrift/forwarding/work_quarantine.h"
 
 namespace kingcupdrift {
 namespace {
@@ -304,7 +304,7 @@
   message.leaving_engines = observer_.ListLeavingEngines();
   message.limits = observer_.ListLimits();
   message.crash_evidence =
-      observer_.ListCrashEvidence(PromptPartQuarantine::kQuarantineTime);
+      observer_.ListCrashEvidence(WorkQuarantine::kQuarantineTime);
   Send(peer.record.peer_endpoint, std::move(message));
 }
 
--- a/src/kingcupdrift/forwarding/work_key.cc
+++ b/src/kingcupdrift/forwarding/work_key.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <string>
 #include <string_view>
 
 namespace kingcupdrift {
@@ -13,12 +14,20 @@
 
 WorkKey MakeRequestKey(const ForwardCall& call, const WorkspaceId& workspace) {
   std::uint64_t digest = 0;
-  for (const std::string_view field :
-       {std::string_view(call.method), std::string_view(call.host),
-        std::string_view(call.target), std::string_view(workspace.value()),
-        std::string_view(*call.body)}) {
+  const auto add = [&digest](std::string_view field) {
     // The seed carries the fields before, so that their borders count.
     digest = FastHash(field, digest);
+  };
+  add(call.method);
+  add(call.host);
+  add(call.target);
+  add(workspace.value());
+  add(*call.body);
+  if (call.prompt) {
+    add(std::to_string(call.prompt->prompt.value()));
+    for (const PromptPartId& it : call.prompt->shared_parts) {
+      add(it.value());
+    }
   }
   return WorkKey(fmt::format("{}{:016x}", kRequestPrefix, digest));
 }
--- a/src/kingcupdrift/forwarding/work_key.h
+++ b/src/kingcupdrift/forwarding/work_key.h
@@ -6,8 +6,9 @@
 
 namespace kingcupdrift {
 
-/// The key of the whole request: a digest of its method, host, path, workspace
-/// and body. Requests that repeat it have the same key and other identifiers.
+/// The key of the whole request: a digest of its method, host, path, workspace,
+/// body and declared prompt. Requests that repeat it have the same key and
+/// other identifiers.
 WorkKey MakeRequestKey(const ForwardCall& call, const WorkspaceId& workspace);
 
 /// The key of a shared part of prompts. Never equal to that of a request, since
--- a/src/kingcupdrift/interfaces/crash_evidence.h
+++ b/src/kingcupdrift/interfaces/crash_evidence.h
@@ -8,39 +8,40 @@
 
 namespace kingcupdrift {
 
-/// A part of a prompt that an engine had begun to answer, or had yet to, when
-/// the engine ended.
-struct SuspectPart {
-  PromptPartId part;
-  /// Index among the prompt's parts.
+/// Work that an engine had begun to answer, or had yet to, when the engine
+/// ended.
+struct SuspectWork {
+  WorkKey key;
+  /// Index among the prompt's parts; after them for a request's own key.
   std::size_t position = 0;
 
-  friend bool operator==(const SuspectPart&, const SuspectPart&) = default;
+  friend bool operator==(const SuspectWork&, const SuspectWork&) = default;
 };
 
-/// The end of an engine's process that interrupted prompts.
+/// The end of an engine's process that interrupted requests.
 struct EngineCrash {
   EngineId engine;
   /// As in `EngineAddress`.
   Incarnation incarnation;
   /// Time since the crash.
   Duration age{0};
-  /// Shared parts of the prompts that it interrupted.
-  std::vector<SuspectPart> suspects;
+  /// Keys of the requests that it interrupted and of the shared parts of their
+  /// prompts.
+  std::vector<SuspectWork> suspects;
 };
 
-/// An engine answered a prompt with this part.
-struct PromptPartSuccess {
-  PromptPartId part;
+/// An engine answered work with this key.
+struct WorkSuccess {
+  WorkKey key;
   /// Time since the success.
   Duration age{0};
 };
 
-/// What entries (serving processes) tell each other about parts of prompts that
-/// may crash engines.
+/// What entries (serving processes) tell each other about work that may crash
+/// engines.
 struct CrashEvidence {
   std::vector<EngineCrash> crashes;
-  std::vector<PromptPartSuccess> successes;
+  std::vector<WorkSuccess> successes;
 
   bool empty() const { return crashes.empty() && successes.empty(); }
 };
--- a/src/kingcupdrift/interfaces/forward_sink.h
+++ b/src/kingcupdrift/interfaces/forward_sink.h
@@ -34,8 +34,8 @@
   kTargetFailed,
   /// Targets failed or refused the request, and it has certainly not run.
   kTargetDeclined,
-  /// A part of the prompt crashed engines lately, and this request was not
-  /// sent.
+  /// The request or a part of its prompt crashed engines lately, and this
+  /// request was not sent.
   kQuarantined,
 };
 
--- a/src/kingcupdrift/net/internal/crash_evidence_codec.cc
+++ b/src/kingcupdrift/net/internal/crash_evidence_codec.cc
@@ -15,9 +15,9 @@
                                       const EngineCrash& crash) {
   std::vector<Offset<wire::SuspectPart>> suspects;
   suspects.reserve(crash.suspects.size());
-  for (const SuspectPart& it : crash.suspects) {
+  for (const SuspectWork& it : crash.suspects) {
     suspects.push_back(
-        wire::CreateSuspectPart(builder, builder.CreateString(it.part.value()),
+        wire::CreateSuspectPart(builder, builder.CreateString(it.key.value()),
                                 static_cast<std::uint32_t>(it.position)));
   }
   const auto engine = builder.CreateString(crash.engine.value());
@@ -36,7 +36,7 @@
   out.age = Duration(crash.age_us());
   if (crash.suspects() != nullptr) {
     for (const wire::SuspectPart* const it : *crash.suspects()) {
-      out.suspects.push_back({PromptPartId(it->part()->str()), it->position()});
+      out.suspects.push_back({WorkKey(it->part()->str()), it->position()});
     }
   }
   return out;
@@ -56,12 +56,12 @@
 
 Offset<WirePartSuccesses> EncodePartSuccesses(
     FlatBufferBuilder& builder,
-    const std::vector<PromptPartSuccess>& successes) {
+    const std::vector<WorkSuccess>& successes) {
   std::vector<Offset<wire::PromptPartSuccess>> out;
   out.reserve(successes.size());
-  for (const PromptPartSuccess& it : successes) {
+  for (const WorkSuccess& it : successes) {
     out.push_back(wire::CreatePromptPartSuccess(
-        builder, builder.CreateString(it.part.value()), it.age.count()));
+        builder, builder.CreateString(it.key.value()), it.age.count()));
   }
   return builder.CreateVector(out);
 }
@@ -87,7 +87,7 @@
         return MakeFrameError("the age of a success is negative");
       }
       evidence.successes.push_back(
-          {PromptPartId(it->part()->str()), Duration(it->age_us())});
+          {WorkKey(it->part()->str()), Duration(it->age_us())});
     }
   }
   return evidence;
--- a/src/kingcupdrift/net/internal/crash_evidence_codec.h
+++ b/src/kingcupdrift/net/internal/crash_evidence_codec.h
@@ -15,7 +15,7 @@
     const std::vector<EngineCrash>& crashes);
 flatbuffers::Offset<WirePartSuccesses> EncodePartSuccesses(
     flatbuffers::FlatBufferBuilder& builder,
-    const std::vector<PromptPartSuccess>& successes);
+    const std::vector<WorkSuccess>& successes);
 
 /// kProtocol: a list is too long or an age is negative.
 Result<CrashEvidence> DecodeCrashEvidence(const wire::WorkNotes& table);
--- a/tests/forwarding/crashing_prompts_test.cc
+++ b/tests/forwarding/crashing_prompts_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include "kingcupdrift/forwarding/prompt_part_quarantine.h"
+#include "kingcupdrift/forwarding/work_quarantine.h"
 #include "tests/forwarding/model_engines_harness.h"
 
 namespace kingcupdrift::fakes {
@@ -184,7 +184,7 @@
   CHECK(refused->refusal->type == ForwardRefusalType::kQuarantined);
   CHECK(GuaranteesNotRun(refused->refusal->type));
   CHECK(refused->refusal->retry_after > std::chrono::minutes(9));
-  CHECK(refused->refusal->retry_after <= PromptPartQuarantine::kQuarantineTime);
+  CHECK(refused->refusal->retry_after <= WorkQuarantine::kQuarantineTime);
   CHECK(harness.nodes[0]->Metric("kingcupdrift_prompt_parts_quarantined") ==
         "1");
 }
--- a/tests/forwarding/model_engines_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -72,6 +72,8 @@
   ForwardCall call = ForwardingHarness::Prompt(kPromptTokens);
   call.id = RequestId("request-" + std::to_string(next_request_++));
   call.key = "kept";
+  // No two prompts are alike.
+  call.body = std::make_shared<const std::string>(call.id.value());
   for (const std::string& it : parts) {
     call.prompt->shared_parts.emplace_back(it);
   }
--- a/tests/forwarding/peer_state_exchange_test.cc
+++ b/tests/forwarding/peer_state_exchange_test.cc
@@ -54,7 +54,7 @@
 TEST_CASE("evidence of crashes comes at once, with heartbeats and complete") {
   PeerExchangeHarness harness;
   const EngineCrash fresh{
-      EngineId("fresh"), {}, Duration::zero(), {{PromptPartId("part"), 0}}};
+      EngineId("fresh"), {}, Duration::zero(), {{WorkKey("part"), 0}}};
   EngineCrash old = fresh;
   old.engine = EngineId("old");
   old.age = PeerStateExchange::kCrashRepeatTime + milliseconds(1);
--- a/tests/forwarding/work_key_test.cc
+++ b/tests/forwarding/work_key_test.cc
@@ -38,6 +38,17 @@
   CHECK(MakeRequestKey(other, workspace) != key);
 }
 
+TEST_CASE("prompts that declare other parts differ, with the same body") {
+  const WorkspaceId workspace("workspace");
+  ForwardCall call = ForwardingHarness::Prompt(1000);
+  const WorkKey key = MakeRequestKey(call, workspace);
+  call.prompt->shared_parts = {PromptPartId("part")};
+  const WorkKey with_part = MakeRequestKey(call, workspace);
+  CHECK(with_part != key);
+  call.prompt->prompt = TokenCount(1001);
+  CHECK(MakeRequestKey(call, workspace) != with_part);
+}
+
 TEST_CASE("no part of a prompt has the key of a request") {
   CHECK_FALSE(IsRequestKey(MakePartKey(PromptPartId("5c1e07a2"))));
 }
--- a/tests/forwarding/prompt_part_quarantine_test.cc
+++ b/tests/forwarding/work_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "kingcupdrift/forwarding/prompt_part_quarantine.h"
+#include "kingcupdrift/forwarding/work_quarantine.h"
 
 #include <doctest/doctest.h>
 
@@ -13,13 +13,13 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-const PromptPartId kCommon("common");
-const PromptPartId kBad("bad");
+const WorkKey kCommon("common");
+const WorkKey kBad("bad");
 
 struct QuarantineHarness {
   /// A further engine ends with prompts of these parts.
-  std::vector<PromptPartSuccess> Crash(const std::vector<PromptPartId>& parts,
-                                       Duration age = Duration::zero()) {
+  std::vector<WorkSuccess> Crash(const std::vector<WorkKey>& parts,
+                                 Duration age = Duration::zero()) {
     EngineCrash crash{
         EngineId("engine-" + std::to_string(next_engine++)), {}, age, {}};
     for (std::size_t i = 0; i < parts.size(); ++i) {
@@ -28,12 +28,12 @@
     last_crash = crash;
     return quarantine.AddCrash(crash);
   }
-  bool IsHeldBack(const PromptPartId& part) const {
+  bool IsHeldBack(const WorkKey& part) const {
     return quarantine.GetTimeLeft({part}) > Duration::zero();
   }
 
   ManualClock clock;
-  PromptPartQuarantine quarantine{clock};
+  WorkQuarantine quarantine{clock};
   EngineCrash last_crash;
   int next_engine = 0;
 };
@@ -48,7 +48,7 @@
   }
   CHECK(harness.IsHeldBack(kBad));
   CHECK(harness.quarantine.ListQuarantined() ==
-        std::map<PromptPartId, int>{{kBad, 3}});
+        std::map<WorkKey, int>{{kBad, 3}});
 }
 
 TEST_CASE("the same engine in another process counts as another crash") {
@@ -83,24 +83,24 @@
 TEST_CASE("a shared part that crashes engines is blamed, not its companions") {
   QuarantineHarness harness;
   for (int i = 0; i < 3; ++i) {
-    harness.Crash({kCommon, PromptPartId("companion-" + std::to_string(i))});
+    harness.Crash({kCommon, WorkKey("companion-" + std::to_string(i))});
   }
   CHECK(harness.IsHeldBack(kCommon));
   // A companion that was blamed first is released once the crashes go on
   // without it.
   QuarantineHarness later;
   for (int i = 0; i < 3; ++i) {
-    later.Crash({kCommon, PromptPartId("companion")});
+    later.Crash({kCommon, WorkKey("companion")});
   }
-  CHECK(later.IsHeldBack(PromptPartId("companion")));
+  CHECK(later.IsHeldBack(WorkKey("companion")));
   later.Crash({kCommon});
   CHECK(later.IsHeldBack(kCommon));
-  CHECK_FALSE(later.IsHeldBack(PromptPartId("companion")));
+  CHECK_FALSE(later.IsHeldBack(WorkKey("companion")));
 }
 
 TEST_CASE("two crashing parts are both held back") {
   QuarantineHarness harness;
-  const PromptPartId other("other");
+  const WorkKey other("other");
   for (int i = 0; i < 3; ++i) {
     harness.Crash({kBad});
     harness.Crash({other});
@@ -117,7 +117,7 @@
   harness.clock.Advance(milliseconds(10));
   const auto cleared = harness.quarantine.AddSuccess({kBad}, Duration::zero());
   REQUIRE(cleared.size() == 1);
-  CHECK(cleared[0].part == kBad);
+  CHECK(cleared[0].key == kBad);
   CHECK_FALSE(harness.IsHeldBack(kBad));
   // A crash that is reported late does not count either.
   CHECK(harness.Crash({kBad}, milliseconds(20)).size() == 1);
@@ -150,7 +150,7 @@
   for (int i = 0; i < 3; ++i) {
     harness.Crash({kBad});
   }
-  harness.clock.Advance(PromptPartQuarantine::kQuarantineTime - seconds(1));
+  harness.clock.Advance(WorkQuarantine::kQuarantineTime - seconds(1));
   CHECK(harness.quarantine.GetTimeLeft({kCommon, kBad}) == seconds(1));
   harness.clock.Advance(seconds(1));
   CHECK_FALSE(harness.IsHeldBack(kBad));
@@ -158,6 +158,67 @@
   CHECK_FALSE(harness.IsHeldBack(kBad));
 }
 
+// Guards against a quarantine of what sound prompts share with one that is sent
+// again and again.
+TEST_CASE("a repeated request is blamed before the parts of its prompt") {
+  QuarantineHarness harness;
+  const WorkKey request("request:1");
+  for (int i = 0; i < 3; ++i) {
+    harness.Crash({kCommon, request});
+  }
+  // By chance a sound prompt with the same part is at another engine that ends.
+  harness.Crash({kCommon, WorkKey("request:2")});
+  CHECK(harness.IsHeldBack(request));
+  CHECK_FALSE(harness.IsHeldBack(kCommon));
+}
+
+TEST_CASE("a part is blamed if several requests with it crash engines") {
+  QuarantineHarness harness;
+  for (int i = 0; i < 3; ++i) {
+    harness.Crash({kCommon, kBad, WorkKey("request:1")});
+  }
+  harness.quarantine.AddSuccess({kCommon}, Duration::zero());
+  CHECK_FALSE(harness.IsHeldBack(kBad));
+  for (int i = 2; i < 4; ++i) {
+    harness.Crash({kCommon, kBad, WorkKey("request:" + std::to_string(i))});
+  }
+  CHECK(harness.IsHeldBack(kBad));
+  CHECK_FALSE(harness.IsHeldBack(kCommon));
+}
+
+// Guards against holding back a sound request that was sent again together with
+// a crashing one.
+TEST_CASE("requests that the same crashes interrupted are told apart") {
+  for (const char* const sound : {"request:1", "request:3"}) {
+    CAPTURE(sound);
+    QuarantineHarness harness;
+    const WorkKey crashing("request:2");
+    for (int i = 0; i < 4; ++i) {
+      harness.Crash({WorkKey(sound), crashing});
+      CHECK(harness.quarantine.ListQuarantined().empty());
+    }
+    harness.Crash({WorkKey(sound), crashing});
+    CHECK(harness.quarantine.ListQuarantined().size() == 1);
+    // If the sound one is held back, the other one crashes an engine alone.
+    if (!harness.IsHeldBack(crashing)) {
+      harness.Crash({crashing});
+    }
+    CHECK(harness.IsHeldBack(crashing));
+    CHECK_FALSE(harness.IsHeldBack(WorkKey(sound)));
+  }
+}
+
+TEST_CASE("a request that was answered lately is not held back") {
+  QuarantineHarness harness;
+  const WorkKey request("request:1");
+  harness.quarantine.AddSuccess({request}, Duration::zero());
+  harness.clock.Advance(milliseconds(100));
+  for (int i = 0; i < 20; ++i) {
+    harness.Crash({request});
+  }
+  CHECK_FALSE(harness.IsHeldBack(request));
+}
+
 TEST_CASE("a record holds a part back until it is deleted or answered") {
   QuarantineHarness harness;
   harness.quarantine.AddRecord(kBad);
@@ -165,37 +226,36 @@
   CHECK(harness.IsHeldBack(kBad));
   // A crash that the record explains is not blamed on another part.
   for (int i = 0; i < 3; ++i) {
-    harness.Crash({PromptPartId("other"), kBad});
+    harness.Crash({WorkKey("other"), kBad});
   }
-  CHECK_FALSE(harness.IsHeldBack(PromptPartId("other")));
+  CHECK_FALSE(harness.IsHeldBack(WorkKey("other")));
   harness.quarantine.RemoveRecord(kBad);
   CHECK_FALSE(harness.IsHeldBack(kBad));
   harness.quarantine.AddSuccess({kCommon}, Duration::zero());
   CHECK_FALSE(harness.IsHeldBack(kCommon));
   harness.quarantine.AddRecord(kBad);
-  harness.clock.Advance(PromptPartQuarantine::kQuarantineTime);
+  harness.clock.Advance(WorkQuarantine::kQuarantineTime);
   CHECK_FALSE(harness.IsHeldBack(kBad));
   CHECK(harness.quarantine.ListQuarantined().empty());
 }
 
 TEST_CASE("evidence stays bounded") {
   QuarantineHarness harness;
-  for (std::size_t i = 0; i < 2 * PromptPartQuarantine::kMaxAnsweredParts;
-       ++i) {
-    harness.quarantine.AddSuccess({PromptPartId(std::to_string(i))},
+  for (std::size_t i = 0; i < 2 * WorkQuarantine::kMaxAnsweredParts; ++i) {
+    harness.quarantine.AddSuccess({WorkKey(std::to_string(i))},
                                   Duration::zero());
   }
-  std::vector<PromptPartId> parts;
-  for (std::size_t i = 0; i < 2 * PromptPartQuarantine::kMaxSuspects; ++i) {
+  std::vector<WorkKey> parts;
+  for (std::size_t i = 0; i < 2 * WorkQuarantine::kMaxSuspects; ++i) {
     parts.emplace_back("part-" + std::to_string(i));
   }
-  for (std::size_t i = 0; i < PromptPartQuarantine::kMaxCrashes + 2; ++i) {
-    harness.Crash(i == 0 ? parts : std::vector<PromptPartId>{kCommon});
+  for (std::size_t i = 0; i < WorkQuarantine::kMaxCrashes + 2; ++i) {
+    harness.Crash(i == 0 ? parts : std::vector<WorkKey>{kCommon});
   }
   const auto crashes = harness.quarantine.ListCrashes(minutes(10));
-  CHECK(crashes.size() == PromptPartQuarantine::kMaxCrashes);
+  CHECK(crashes.size() == WorkQuarantine::kMaxCrashes);
   for (const EngineCrash& it : crashes) {
-    CHECK(it.suspects.size() <= PromptPartQuarantine::kMaxSuspects);
+    CHECK(it.suspects.size() <= WorkQuarantine::kMaxSuspects);
   }
 }
 
--- a/tests/net/forwarding_codec_test.cc
+++ b/tests/net/forwarding_codec_test.cc
@@ -62,8 +62,8 @@
   sent.crashes = {{EngineId("e"),
                    Incarnation(7),
                    std::chrono::milliseconds(30),
-                   {{PromptPartId("5c"), 0}, {PromptPartId("91"), 3}}}};
-  sent.successes = {{PromptPartId("5c"), std::chrono::milliseconds(40)}};
+                   {{WorkKey("5c"), 0}, {WorkKey("91"), 3}}}};
+  sent.successes = {{WorkKey("5c"), std::chrono::milliseconds(40)}};
   auto frame = DecodePeerFrame(EncodePeerMessage(message));
   REQUIRE(frame);
   REQUIRE(*frame);
@@ -75,7 +75,7 @@
   CHECK(evidence.crashes[0].age == std::chrono::milliseconds(30));
   CHECK(evidence.crashes[0].suspects == sent.crashes[0].suspects);
   REQUIRE(evidence.successes.size() == 1);
-  CHECK(evidence.successes[0].part == PromptPartId("5c"));
+  CHECK(evidence.successes[0].key == WorkKey("5c"));
   CHECK(evidence.successes[0].age == std::chrono::milliseconds(40));
   sent.successes[0].age = Duration(-1);
   CHECK_FALSE(DecodePeerFrame(EncodePeerMessage(message)));
