Test repeated crashing requests with late, ended and many entries

Change: cases with 195 entries, messages that take 0.1 to 0.7 s, targets that are back before their check under a new or their old identifier, and entries that end one after the other or all at once. The harness can also cut entries off from all engines and silence engines.

--- a/tests/forwarding/crashing_requests_test.cc
+++ b/tests/forwarding/crashing_requests_test.cc
@@ -92,5 +92,77 @@
   }
 }
 
+// Guards against an evidence that reaches too few entries of a large fleet.
+TEST_CASE("a large fleet holds back a repeated request that crashes targets") {
+  ModelEnginesHarness harness(195);
+  harness.AddPlainTargets(kPlainTargets);
+  harness.crashing_bodies = {"bad"};
+  const Outcome outcome = PlayRepeatedRequest(harness, "/safe/", 160);
+  CHECK(outcome.late_sends <= kMaxLateSends);
+  CHECK(outcome.sound_answered == outcome.sound);
+}
+
+// Guards against messages between entries that arrive late.
+TEST_CASE("entries that hear each other late hold a crashing request back") {
+  for (const std::string path : {"/safe/", "/once/", "/prompt/"}) {
+    for (const int delay_ms : {100, 400, 700}) {
+      CAPTURE(path);
+      CAPTURE(delay_ms);
+      ModelEnginesHarness harness(6, std::chrono::milliseconds(delay_ms));
+      harness.AddPlainTargets(kPlainTargets);
+      harness.crashing_bodies = {"bad"};
+      const Outcome outcome = PlayRepeatedRequest(harness, path, 240);
+      CHECK(outcome.late_sends <= kMaxLateSends);
+      CHECK(outcome.sound_answered == outcome.sound);
+    }
+  }
+}
+
+// Guards against crashes that no check sees, since the target is back at once.
+TEST_CASE("crashes count if the target is back before it is checked") {
+  for (const bool keeps_id : {false, true}) {
+    CAPTURE(keeps_id);
+    ModelEnginesHarness harness(6);
+    harness.AddPlainTargets(kPlainTargets);
+    harness.restart_steps = 0;
+    harness.keeps_id = keeps_id;
+    harness.crashing_bodies = {"bad"};
+    const Outcome outcome = PlayRepeatedRequest(harness, "/safe/", 240);
+    CHECK(outcome.late_sends <= kMaxLateSends);
+    CHECK(outcome.sound_answered == outcome.sound);
+  }
+}
+
+// Guards against a quarantine that ends with the processes that know of it.
+TEST_CASE("a held back request stays so while entries end and start") {
+  for (const bool all_at_once : {false, true}) {
+    CAPTURE(all_at_once);
+    ModelEnginesHarness harness(6);
+    harness.AddPlainTargets(kPlainTargets);
+    harness.crashing_bodies = {"bad"};
+    PlayRepeatedRequest(harness, "/once/", 160);
+    const int sends = harness.CountCrashingSends();
+    for (int i = 0; i < 6; ++i) {
+      harness.nodes[static_cast<std::size_t>(i)]->Kill();
+      if (!all_at_once) {
+        harness.AddNode(i + 1, "restarted-");
+        harness.Steps(60);
+      }
+    }
+    if (all_at_once) {
+      harness.Steps(10);
+      harness.AddNodes(6, "restarted-");
+      harness.Steps(60);
+    }
+    for (std::size_t node = 6; node < harness.size(); ++node) {
+      CHECK(harness.Ask(node, "/once/x", "bad")->refusal);
+      const auto sound = harness.Ask(node, "/once/x", "sound");
+      harness.Steps(10);
+      CHECK(sound->reply);
+    }
+    CHECK(harness.CountCrashingSends() == sends);
+  }
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -90,7 +90,7 @@
                              DoneCallback callback) {
   checks.push_back(engine.id);
   Result<void> done;
-  if (unresponsive.contains(engine.id)) {
+  if (is_cut_off || unresponsive.contains(engine.id)) {
     done = MakeError(ErrorCode::kUnavailable, "no answer");
   }
   pending_answers.push_back(
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -68,6 +68,8 @@
   std::map<std::pair<EngineId, ReservationId>, TokenCount> reservations;
   /// Engines that do not answer checks.
   std::set<EngineId> unresponsive;
+  /// No engine answers checks.
+  bool is_cut_off = false;
   /// Engines in the order of the checks received.
   std::vector<EngineId> checks;
   /// Engines that refuse reservations as overloaded.
--- a/tests/forwarding/gateway_harness.cc
+++ b/tests/forwarding/gateway_harness.cc
@@ -123,12 +123,16 @@
 
 void GatewayHarness::AddNodes(int count, const std::string& name) {
   for (int i = 1; i <= count; ++i) {
-    nodes.push_back(std::make_unique<GatewayNode>(i, name, clock, random, model,
-                                                  network, decoder));
-    nodes.back()->gateway->Start();
+    AddNode(i, name);
   }
 }
 
+void GatewayHarness::AddNode(int number, const std::string& name) {
+  nodes.push_back(std::make_unique<GatewayNode>(number, name, clock, random,
+                                                model, network, decoder));
+  nodes.back()->gateway->Start();
+}
+
 void GatewayHarness::Put(const std::string& key, const std::string& value) {
   const auto old = model.Get(key);
   REQUIRE(model.CompareAndSwap(key, old ? old->version : StoreVersion(), value,
--- a/tests/forwarding/gateway_harness.h
+++ b/tests/forwarding/gateway_harness.h
@@ -62,6 +62,8 @@
 
   /// Starts entries at the first `count` addresses.
   void AddNodes(int count, const std::string& name);
+  /// Starts one entry at address `number`.
+  void AddNode(int number, const std::string& name);
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key);
   /// The store is away for a moment and comes back with `snapshot`.
--- a/tests/forwarding/model_engines_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -88,7 +88,7 @@
     return;
   }
   ++crashes_;
-  restarts_.push_back({step_ + restart_steps, found->second});
+  restarts_.push_back({step_ + restart_steps, engine, found->second});
   engines_.erase(found);
   for (const auto& node : nodes) {
     node->targets.unresponsive.insert(engine);
@@ -100,7 +100,50 @@
       }
     }
   }
-  Delete(KeyOf(engine));
+  if (!keeps_id) {
+    Delete(KeyOf(engine));
+  }
+}
+
+void ModelEnginesHarness::RestartEngine(const Restart& restart) {
+  if (!keeps_id) {
+    AddEngine(restart.service);
+    return;
+  }
+  engines_[restart.engine] = restart.service;
+  for (const auto& node : nodes) {
+    node->targets.unresponsive.erase(restart.engine);
+  }
+  Put(KeyOf(restart.engine),
+      "ready " + std::to_string(++next_incarnation_) + " " + restart.service);
+}
+
+void ModelEnginesHarness::SetCut(std::size_t node, Cut cut) {
+  GatewayNode& it = *nodes.at(node);
+  cuts_[&it] = cut;
+  it.targets.is_cut_off = cut != Cut::kNone;
+  sends_before_cut_[&it].clear();
+  for (const auto& send : it.targets.sends) {
+    sends_before_cut_[&it].insert(send.get());
+  }
+}
+
+bool ModelEnginesHarness::IsCut(const GatewayNode& node, TargetSend& send) {
+  const auto cut = cuts_.find(&node);
+  if (cut == cuts_.end() || cut->second == Cut::kNone) {
+    return false;
+  }
+  const bool is_old = sends_before_cut_[&node].contains(&send);
+  if (cut->second == Cut::kRefuse && is_old) {
+    return false;
+  }
+  if (!is_old) {
+    // No connection is made; the client gives up within some steps.
+    send.observer->OnFailed({ErrorCode::kUnavailable, "no connection"});
+  } else if (cut->second == Cut::kReset) {
+    send.observer->OnFailed({ErrorCode::kUnknownEffect, "reset"});
+  }
+  return true;
 }
 
 bool ModelEnginesHarness::IsCrashing(const TargetSend& send) const {
@@ -112,6 +155,9 @@
 }
 
 void ModelEnginesHarness::AnswerSend(GatewayNode& node, TargetSend& send) {
+  if (silent.contains(send.target.id) || IsCut(node, send)) {
+    return;
+  }
   const auto engine = engines_.find(send.target.id);
   if (engine == engines_.end()) {
     send.observer->OnFailed({ErrorCode::kUnavailable, "refused"});
@@ -177,15 +223,15 @@
   for (const auto& node : nodes) {
     node->targets.AnswerPendingCalls();
   }
-  std::vector<std::string> due;
+  std::vector<Restart> due;
   std::erase_if(restarts_, [this, &due](const Restart& it) {
     if (it.step <= step_) {
-      due.push_back(it.service);
+      due.push_back(it);
     }
     return it.step <= step_;
   });
-  for (const std::string& it : due) {
-    AddEngine(it);
+  for (const Restart& it : due) {
+    RestartEngine(it);
   }
 }
 
--- a/tests/forwarding/model_engines_harness.h
+++ b/tests/forwarding/model_engines_harness.h
@@ -51,6 +51,18 @@
   }
   int step() const { return step_; }
 
+  /// How an entry is cut off from all engines.
+  enum class Cut {
+    kNone,
+    /// Open connections and new ones hang.
+    kHang,
+    /// Open connections are reset, new ones hang.
+    kReset,
+    /// Open connections work, new ones are refused.
+    kRefuse,
+  };
+  void SetCut(std::size_t node, Cut cut);
+
   std::set<PromptPartId> crashing_parts;
   std::set<std::string> crashing_bodies;
   /// Requests a second that engines name as their limit in each answer.
@@ -60,25 +72,38 @@
   static constexpr int kEngines = 24;
   /// Steps in which a crashed engine is away.
   int restart_steps = 40;
+  /// A crashed engine is back under the identifier that it had.
+  bool keeps_id = false;
+  /// Engines that answer nothing and keep their connections.
+  std::set<EngineId> silent;
 
  private:
   struct Restart {
     int step = 0;
+    EngineId engine;
     std::string service;
   };
 
   void AddEngine(const std::string& service);
+  void RestartEngine(const Restart& restart);
+  /// Carries out the cut of the node's connections; true if the send gets no
+  /// answer.
+  bool IsCut(const GatewayNode& node, TargetSend& send);
   bool IsCrashing(const TargetSend& send) const;
   void AnswerSend(GatewayNode& node, TargetSend& send);
 
   /// Services of the running engines.
   std::map<EngineId, std::string> engines_;
   std::vector<Restart> restarts_;
+  std::map<const GatewayNode*, Cut> cuts_;
+  // Sends of an entry that came before it was cut off, by count.
+  std::map<const GatewayNode*, std::set<const TargetSend*>> sends_before_cut_;
   std::map<RequestId, int> events_;
   std::map<EngineId, std::vector<int>> arrivals_;
   // Sends of each entry that are in `arrivals_`.
   std::map<const GatewayNode*, std::size_t> counted_sends_;
   int next_engine_ = 0;
+  int next_incarnation_ = 1;
   int next_request_ = 0;
   int step_ = 0;
   int crashes_ = 0;
