Blame no work for targets that all failed at once after they answered it

Callers would see: after the end of all engines at once, sound prompts that engines had answered a moment before are refused for ten minutes. Cause: a key that was answered before must not have been answered for a second, counted from now. While no engine runs nothing can be answered, so the second passes without saying anything about the key. Change: the second counts from the last answer to the last crash.

--- a/src/kingcupdrift/forwarding/work_quarantine.cc
+++ b/src/kingcupdrift/forwarding/work_quarantine.cc
@@ -163,7 +163,7 @@
     return blame.crashes >= kMinCrashes;
   }
   return blame.crashes >= kMinCrashesInDoubt &&
-         clock_.Now() - *last_answer >= kAnsweredGrace;
+         blame.last_crash - *last_answer >= kAnsweredGrace;
 }
 
 bool WorkQuarantine::IsMoreLikely(const Blame& a, const Blame& b) {
--- a/src/kingcupdrift/forwarding/work_quarantine.h
+++ b/src/kingcupdrift/forwarding/work_quarantine.h
@@ -58,9 +58,9 @@
   /// requests that all of the crashes interrupted together, as when both are
   /// sent again at the same time.
   static constexpr int kMinCrashesInDoubt = 5;
-  /// A key that was answered before must not have been answered for this long,
-  /// so that a part that many prompts share is not blamed when many engines
-  /// fail at once.
+  /// A key that was answered before must have crashed an engine this long after
+  /// its last answer, so that work that many engines have is not blamed when
+  /// they all fail at once and can't answer for a while.
   static constexpr Duration kAnsweredGrace = std::chrono::seconds(1);
   /// Crashes by which a part must exceed a request that has it, to be blamed in
   /// its place: one may be chance.
--- a/tests/forwarding/crashing_requests_test.cc
+++ b/tests/forwarding/crashing_requests_test.cc
@@ -164,5 +164,57 @@
   }
 }
 
+// Guards against a quarantine of sound work that was at targets which failed
+// for another reason, or were only silent.
+TEST_CASE("no request is held back when many targets fail or fall silent") {
+  for (const bool is_silent : {false, true}) {
+    for (const std::string path : {"/safe/", "/once/", "/prompt/"}) {
+      CAPTURE(is_silent);
+      CAPTURE(path);
+      ModelEnginesHarness harness(6);
+      harness.AddPlainTargets(6);
+      std::vector<std::shared_ptr<CallerRecord>> sound;
+      const auto ask_all = [&] {
+        for (std::size_t node = 0; node < harness.size(); ++node) {
+          sound.push_back(harness.Ask(node, path + "x", "sound"));
+        }
+      };
+      for (int i = 0; i < 30; ++i) {
+        ask_all();
+        harness.Step();
+      }
+      for (const EngineId& it : harness.ListEngines()) {
+        if (is_silent) {
+          harness.silent.insert(it);
+          for (const auto& node : harness.nodes) {
+            node->targets.unresponsive.insert(it);
+          }
+        } else {
+          harness.Crash(it);
+        }
+      }
+      for (int i = 0; i < 24; ++i) {
+        ask_all();
+        harness.Step();
+      }
+      for (const auto& node : harness.nodes) {
+        node->targets.unresponsive.clear();
+      }
+      harness.silent.clear();
+      for (int i = 0; i < 60; ++i) {
+        ask_all();
+        harness.Step();
+      }
+      harness.Steps(30);
+      for (const auto& it : sound) {
+        REQUIRE_FALSE((it->refusal &&
+                       it->refusal->type == ForwardRefusalType::kQuarantined));
+      }
+      CHECK(sound.back()->IsOver());
+      CHECK_FALSE(sound.back()->refusal);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
