Show whether an entry can connect to any engine

Cause: neither logs nor metrics told an entry that is cut off from all engines from one whose engines fail one by one. Change: EngineReachability counts engines that could not be connected to since the last answer on a newer connection, and probes three others once three have failed; engines lines and kingcupdrift_engines_in_reach show the result. Nothing acts on it yet.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -238,6 +238,8 @@
     add_gauge("kingcupdrift_prompt_parts_quarantined",
               quarantined.size() - requests);
     add_gauge("kingcupdrift_requests_quarantined", requests);
+    add_gauge("kingcupdrift_engines_in_reach",
+              context_.reachability.is_cut_off() ? 0 : 1);
     const auto add_counter = [&out](const std::string& name,
                                     std::uint64_t value) {
       out += "# TYPE " + name + " counter\n" + name + " " +
--- a/src/kingcupdrift/forwarding/internal/engine_checker.cc
+++ b/src/kingcupdrift/forwarding/internal/engine_checker.cc
@@ -27,23 +27,29 @@
 
 void EngineChecker::Check(const EngineAddress& engine, int checks_left) {
   const std::weak_ptr<bool> alive = lifetime_token_;
-  targets_.Check(
-      engine, kCheckTimeout,
-      [this, alive, engine, checks_left](const Result<void>& answer) {
-        if (!alive.expired()) {
-          HandleCheckResult(engine, checks_left, answer);
-        }
-      });
+  targets_.Check(engine, kCheckTimeout,
+                 [this, alive, engine, checks_left,
+                  opened_at = clock_.Now()](const Result<void>& answer) {
+                   if (!alive.expired()) {
+                     HandleCheckResult(engine, checks_left, opened_at, answer);
+                   }
+                 });
 }
 
 void EngineChecker::HandleCheckResult(const EngineAddress& engine,
                                       int checks_left,
+                                      MonotonicTime opened_at,
                                       const Result<void>& answer) {
   if (!answer && checks_left > 1 && !health_.IsPaused(engine.id)) {
     Check(engine, checks_left - 1);
     return;
   }
   engines_in_check_.erase(engine.id);
+  if (answer) {
+    reachability_.OnAnswer(opened_at);
+  } else {
+    reachability_.OnConnectFailure(engine.id);
+  }
   log_.Add("forward", "check")
       .Text("target", engine.id.value())
       .Text("outcome", answer ? "answers" : "down")
--- a/src/kingcupdrift/forwarding/internal/engine_checker.h
+++ b/src/kingcupdrift/forwarding/internal/engine_checker.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "kingcupdrift/base/base.h"
+#include "kingcupdrift/forwarding/internal/engine_reachability.h"
 #include "kingcupdrift/forwarding/target_health.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 #include "kingcupdrift/telemetry/telemetry.h"
@@ -21,8 +22,16 @@
   using Listener = std::function<void(const EngineAddress& engine)>;
 
   /// All references outlive the checker.
-  EngineChecker(TargetClient& targets, TargetHealth& health, DecisionLog& log)
-      : targets_(targets), health_(health), log_(log) {}
+  EngineChecker(const Clock& clock,
+                TargetClient& targets,
+                TargetHealth& health,
+                EngineReachability& reachability,
+                DecisionLog& log)
+      : clock_(clock),
+        targets_(targets),
+        health_(health),
+        reachability_(reachability),
+        log_(log) {}
 
   /// `on_suspected` is called for each engine that this entry itself suspects,
   /// `on_down` for each engine that failed its check.
@@ -48,10 +57,13 @@
   void Check(const EngineAddress& engine, int checks_left);
   void HandleCheckResult(const EngineAddress& engine,
                          int checks_left,
+                         MonotonicTime opened_at,
                          const Result<void>& answer);
 
+  const Clock& clock_;
   TargetClient& targets_;
   TargetHealth& health_;
+  EngineReachability& reachability_;
   DecisionLog& log_;
   Listener on_suspected_ = [](const EngineAddress&) {};
   Listener on_down_ = [](const EngineAddress&) {};
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -12,6 +12,7 @@
 #include "kingcupdrift/forwarding/forwarder.h"
 #include "kingcupdrift/forwarding/internal/crash_monitor.h"
 #include "kingcupdrift/forwarding/internal/engine_checker.h"
+#include "kingcupdrift/forwarding/internal/engine_reachability.h"
 #include "kingcupdrift/forwarding/internal/wait_queue.h"
 #include "kingcupdrift/forwarding/target_health.h"
 #include "kingcupdrift/forwarding/target_rate_limiter.h"
@@ -41,7 +42,8 @@
         work_tracker(clock),
         budget(clock, settings_in.budget),
         queue(clock),
-        checker(targets, health, log),
+        reachability(clock, random, targets, directory, log),
+        checker(clock, targets, health, reachability, log),
         crash_monitor(clock, health, log) {}
 
   ForwarderSettings settings;
@@ -57,6 +59,7 @@
   WorkTracker work_tracker;
   RetryBudgetShare budget;
   WaitQueue queue;
+  EngineReachability reachability;
   EngineChecker checker;
   CrashMonitor crash_monitor;
   // Entries that share the retry budget, this one included.
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -88,6 +88,7 @@
 
 void ForwardRequest::OnStreamBegin(int status, const HeaderList& headers) {
   context_.health.OnSuccess(attempt_->target().id);
+  context_.reachability.OnAnswer(attempt_sent_at_);
   if (is_work_registered_) {
     UpdateWorkPhase(WorkPhase::kDecoding);
   }
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -21,6 +21,7 @@
       return;
     case ForwardAttemptOutcome::kAnswered: {
       may_have_run_ = true;
+      context_.reachability.OnAnswer(attempt_sent_at_);
       const bool has_failed = result.response.status >= kStatusServerError;
       if (has_failed && !has_begun_ && IsIdempotent()) {
         excluded_targets_.insert(target);
@@ -42,11 +43,13 @@
       return;
     }
     case ForwardAttemptOutcome::kDeclined:
+      context_.reachability.OnAnswer(attempt_sent_at_);
       HandleDeclined(result);
       return;
     case ForwardAttemptOutcome::kNotSent:
       excluded_targets_.insert(target);
       context_.health.OnFailure(target);
+      context_.reachability.OnConnectFailure(target);
       SuspectEngine(target);
       --sends_;
       ++unexecuted_sends_;
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -108,6 +108,7 @@
   request.helpers = plan.helpers;
   const AttemptTimeouts timeouts = ChooseTimeouts(plan);
   ++sends_;
+  attempt_sent_at_ = context_.clock.Now();
   attempt_begun_at_.reset();
   is_attempt_proven_ = false;
   context_.log.Add("forward", "send")
--- a/src/kingcupdrift/forwarding/target_directory.cc
+++ b/src/kingcupdrift/forwarding/target_directory.cc
@@ -111,6 +111,16 @@
   return usable;
 }
 
+std::vector<const TargetRecord*> TargetDirectory::ListUsable() const {
+  std::vector<const TargetRecord*> usable;
+  for (const auto& [id, target] : targets_) {
+    if (IsUsable(target)) {
+      usable.push_back(&target.record);
+    }
+  }
+  return usable;
+}
+
 const TargetRecord* TargetDirectory::Find(const EngineId& id) const {
   const auto it = targets_.find(id);
   return it == targets_.end() ? nullptr : &it->second.record;
--- a/src/kingcupdrift/forwarding/target_directory.h
+++ b/src/kingcupdrift/forwarding/target_directory.h
@@ -52,6 +52,8 @@
 
   /// Usable targets of `service`, ordered by identifier.
   std::vector<const TargetRecord*> ListUsable(const ServiceId& service) const;
+  /// Usable targets of all services.
+  std::vector<const TargetRecord*> ListUsable() const;
   /// The last record of the target, also of an unusable one. Null if it was
   /// never listed or has been dropped by `Remove`.
   const TargetRecord* Find(const EngineId& id) const;
