Pass requests on to another entry while no engine is in reach

Cause: an entry took its own cut for many failures of engines. Nothing told it or the others that it reaches none, so it stayed in address answers and had only engines to send to. Change: an entry that EngineReachability finds cut off tells the others, and another entry of the serving group serves its requests, one hop, with the time that is left. It leaves address answers and the serving group unless all are cut off. The end of the cut ends all backoff. Public interfaces: ForwardCall::is_relayed, TargetRequest::is_relay, WorkNotes.is_cut_off (a new field; entries of earlier builds count as in reach).

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -22,6 +22,7 @@
     context_.work_listener = [](const WorkNote&) {};
     SetSuspectListener([](const EngineId&) {});
     context_.targets.SetNoticeObserver(*this);
+    context_.reachability.SetListener([this] { HandleReachabilityChange(); });
   }
 
   void Handle(ForwardCall call, std::unique_ptr<ForwardSink> sink) override {
@@ -163,6 +164,16 @@
         [this](const EngineAddress& engine) { HandleDown(engine); });
   }
 
+  void SetRelayPeers(std::vector<RelayPeer> peers) override {
+    context_.relay_peers = std::move(peers);
+  }
+
+  bool IsCutOff() const override { return context_.reachability.is_cut_off(); }
+
+  void SetCutOffListener(std::function<void()> listener) override {
+    cut_off_listener_ = std::move(listener);
+  }
+
   void SetCrashEvidenceListener(CrashEvidenceListener listener) override {
     context_.crash_monitor.SetListener(std::move(listener));
   }
@@ -246,6 +257,8 @@
              std::to_string(value) + "\n";
     };
     add_counter("kingcupdrift_target_pauses_total", pauses_);
+    add_counter("kingcupdrift_requests_relayed_total",
+                context_.relayed_requests);
     add_counter("kingcupdrift_engines_found_down_total",
                 context_.engines_found_down);
     add_counter("kingcupdrift_attempts_interrupted_before_first_event_total",
@@ -291,6 +304,15 @@
     }
   }
 
+  void HandleReachabilityChange() {
+    if (!IsCutOff()) {
+      // Failures during the cut were those of this entry.
+      context_.health.ForgetFailures();
+    }
+    cut_off_listener_();
+    context_.queue.Wake();
+  }
+
   void HandleDown(const EngineAddress& engine) {
     ++context_.engines_found_down;
     context_.crash_monitor.OnEngineDown(engine);
@@ -311,6 +333,7 @@
   DeferredTaskRunner deferred_;
   LeavingListener leaving_listener_ = [](const LeavingEngine&) {};
   LimitListener limit_listener_ = [](const EngineLimit&) {};
+  std::function<void()> cut_off_listener_ = [] {};
   // Times that an engine asked for a pause.
   std::uint64_t pauses_ = 0;
 };
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "kingcupdrift/base/base.h"
+#include "kingcupdrift/forwarding/relay_peer.h"
 #include "kingcupdrift/forwarding/retry_budget_share.h"
 #include "kingcupdrift/forwarding/route_table.h"
 #include "kingcupdrift/forwarding/target_directory.h"
@@ -97,6 +98,13 @@
   /// Entries, this one included, among which the limits of engines are divided;
   /// this one alone before the first call.
   virtual void SetSendingEntries(std::vector<InstanceId> entries) = 0;
+  /// Entries that serve this one's requests while it can connect to no engine;
+  /// none before the first call.
+  virtual void SetRelayPeers(std::vector<RelayPeer> peers) = 0;
+  /// This entry can connect to no engine.
+  virtual bool IsCutOff() const = 0;
+  /// Called after each change of `IsCutOff`.
+  virtual void SetCutOffListener(std::function<void()> listener) = 0;
   /// Called with evidence about work that may crash engines, for
   /// the other entries.
   using CrashEvidenceListener = std::function<void(const CrashEvidence&)>;
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -62,6 +62,7 @@
     forwarder_->SetCrashEvidenceListener([this](const CrashEvidence& evidence) {
       peer_exchange_.BroadcastCrashEvidence(evidence);
     });
+    forwarder_->SetCutOffListener([this] { peer_exchange_.BroadcastState(); });
     mirror_.SetEraListener([this](StoreEra era) { HandleNewEra(era); });
   }
 
@@ -174,7 +175,7 @@
 
   LocalEntryState GetLocalState() const override {
     return {mirror_.position(), mirror_.IsStoreReachable(), is_draining_,
-            requests_per_second_};
+            forwarder_->IsCutOff(), requests_per_second_};
   }
 
   StoreStateReplyMessage StateAfter(
@@ -212,6 +213,7 @@
     UpdateRequestRate();
     forwarder_->SetEntryCount(peer_exchange_.CountLimitShares());
     forwarder_->SetSendingEntries(peer_exchange_.ListSendingEntries());
+    forwarder_->SetRelayPeers(peer_exchange_.ListRelayPeers());
     election_.Update(recent, mirror_.IsStoreReachable(), is_serving);
     if (election_.is_first_reader()) {
       quarantine_records_.Write(forwarder_->ListQuarantined());
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "kingcupdrift/forwarding/forwarder.h"
 #include "kingcupdrift/forwarding/internal/crash_monitor.h"
@@ -62,6 +63,9 @@
   EngineReachability reachability;
   EngineChecker checker;
   CrashMonitor crash_monitor;
+  std::vector<RelayPeer> relay_peers;
+  // Attempts that went to other entries, for metrics.
+  std::uint64_t relayed_requests = 0;
   // Entries that share the retry budget, this one included.
   std::size_t entry_count = 1;
   std::optional<PlannedStop> stop;
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -87,8 +87,8 @@
 }
 
 void ForwardRequest::OnStreamBegin(int status, const HeaderList& headers) {
+  ReportConnected();
   context_.health.OnSuccess(attempt_->target().id);
-  context_.reachability.OnAnswer(attempt_sent_at_);
   if (is_work_registered_) {
     UpdateWorkPhase(WorkPhase::kDecoding);
   }
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -79,6 +79,8 @@
     Duration predicted_time_to_first_event{0};
     /// Load of the target as this entry knew it.
     EngineLoad expected_load;
+    /// The target is another entry.
+    bool is_relay = false;
   };
   enum class PlacementResult { kPlaced, kMustWait, kImpossible };
 
@@ -91,6 +93,11 @@
   void ReportAnswered();
   bool TryDispatch();
   PlacementResult Choose(SendPlan& plan);
+  /// The entry that is to serve the request in place of this one: absent unless
+  /// this entry is cut off from all engines, or if the request was passed on
+  /// once already.
+  std::optional<RelayPeer> ChooseRelayPeer();
+  void SendToPeer(const RelayPeer& peer);
   PlacementResult ChooseLeastLoaded(
       const std::vector<const TargetRecord*>& targets,
       SendPlan& plan);
@@ -136,6 +143,10 @@
   bool IsWaitingForHelper(const EngineId& engine) const;
   /// Starts a check of an engine that may have caused a failure.
   void SuspectEngine(const EngineId& engine);
+  /// The target's answer came on a connection of the present attempt.
+  void ReportConnected();
+  void HandleNotSent(const ForwardAttemptResult& result);
+  void HandleRelayedAnswer(const ForwardAttemptResult& result);
   void HandleDeclined(const ForwardAttemptResult& result);
   void HandleInterrupted(const ForwardAttemptResult& result);
   /// The prefill helper that the target blames, else the target.
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -1,6 +1,7 @@
 #include "kingcupdrift/forwarding/internal/forward_request.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace kingcupdrift {
@@ -8,6 +9,13 @@
 
 constexpr int kStatusServerError = 500;
 
+/// Statuses with which entries state that a request has not run.
+bool PromisesNotRun(int status) {
+  constexpr std::array<int, 4> kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) !=
+         kStatuses.end();
+}
+
 }  // namespace
 
 void ForwardRequest::OnAttemptEnd(ForwardAttemptResult result) {
@@ -20,8 +28,12 @@
       Finish("completed", "");
       return;
     case ForwardAttemptOutcome::kAnswered: {
+      if (plan_.is_relay) {
+        HandleRelayedAnswer(result);
+        return;
+      }
       may_have_run_ = true;
-      context_.reachability.OnAnswer(attempt_sent_at_);
+      ReportConnected();
       const bool has_failed = result.response.status >= kStatusServerError;
       if (has_failed && !has_begun_ && IsIdempotent()) {
         excluded_targets_.insert(target);
@@ -43,36 +55,56 @@
       return;
     }
     case ForwardAttemptOutcome::kDeclined:
-      context_.reachability.OnAnswer(attempt_sent_at_);
       HandleDeclined(result);
       return;
     case ForwardAttemptOutcome::kNotSent:
-      excluded_targets_.insert(target);
-      context_.health.OnFailure(target);
-      context_.reachability.OnConnectFailure(target);
-      SuspectEngine(target);
-      --sends_;
-      ++unexecuted_sends_;
-      if (unexecuted_sends_ > kMaxUnexecutedSends || !TryRetry(false)) {
-        AbortOrRefuse(result.detail);
-      }
+      HandleNotSent(result);
       return;
     case ForwardAttemptOutcome::kInterrupted:
-      excluded_targets_.insert(target);
-      context_.health.OnFailure(target);
-      if (result.is_connection_lost && !is_attempt_proven_) {
-        context_.crash_monitor.OnInterrupted(ended_attempts_.back()->target(),
-                                             work_keys_);
-      }
-      SuspectEngine(target);
-      if (result.is_connection_lost) {
-        context_.checker.CheckSuspect(ended_attempts_.back()->target());
-      }
       HandleInterrupted(result);
       return;
   }
 }
 
+void ForwardRequest::ReportConnected() {
+  if (!plan_.is_relay) {
+    context_.reachability.OnAnswer(attempt_sent_at_);
+  }
+}
+
+void ForwardRequest::HandleNotSent(const ForwardAttemptResult& result) {
+  const EngineId target = plan_.target.id;
+  excluded_targets_.insert(target);
+  if (!plan_.is_relay) {
+    context_.health.OnFailure(target);
+    context_.reachability.OnConnectFailure(target);
+    SuspectEngine(target);
+  }
+  --sends_;
+  ++unexecuted_sends_;
+  if (unexecuted_sends_ > kMaxUnexecutedSends || !TryRetry(false)) {
+    AbortOrRefuse(result.detail);
+  }
+}
+
+void ForwardRequest::HandleRelayedAnswer(const ForwardAttemptResult& result) {
+  if (has_begun_) {
+    AbortOrRefuse("the stream could not be resumed");
+    return;
+  }
+  if (may_have_run_ && PromisesNotRun(result.response.status)) {
+    Refuse(ForwardRefusalType::kTargetFailed,
+           "the request may have run before another entry refused it");
+    return;
+  }
+  const bool has_failed = result.response.status >= kStatusServerError;
+  if (!has_failed) {
+    ReportAnswered();
+  }
+  sink_->Reply(result.response);
+  Finish(has_failed ? "target_error" : "completed", "");
+}
+
 Duration ForwardRequest::GetQuarantineLeft() const {
   return context_.crash_monitor.GetQuarantineLeft(work_keys_);
 }
@@ -101,8 +133,11 @@
       .Text("target", target.value())
       .Text("at_fault", faulty_engine.value())
       .Number("status", result.response.status);
+  ReportConnected();
   excluded_targets_.insert(faulty_engine);
-  context_.health.OnFailure(faulty_engine);
+  if (!plan_.is_relay) {
+    context_.health.OnFailure(faulty_engine);
+  }
   if (faulty_engine != target) {
     SuspectEngine(faulty_engine);
   }
@@ -124,12 +159,24 @@
 }
 
 void ForwardRequest::HandleInterrupted(const ForwardAttemptResult& result) {
+  const EngineAddress target = ended_attempts_.back()->target();
+  excluded_targets_.insert(target.id);
+  if (!plan_.is_relay) {
+    context_.health.OnFailure(target.id);
+    if (result.is_connection_lost && !is_attempt_proven_) {
+      context_.crash_monitor.OnInterrupted(target, work_keys_);
+    }
+    SuspectEngine(target.id);
+    if (result.is_connection_lost) {
+      context_.checker.CheckSuspect(target);
+    }
+  }
   may_have_run_ = true;
   ++(attempt_begun_at_ ? context_.interrupted_streams
                        : context_.interrupted_before_first_event);
   context_.log.Add("forward", "broken")
       .Text("request", call_.id.value())
-      .Text("target", ended_attempts_.back()->target().id.value())
+      .Text("target", target.id.value())
       .Number("events",
               framer_ && framer_->last_event_id()
                   ? static_cast<std::int64_t>(*framer_->last_event_id())
@@ -184,7 +231,8 @@
 }
 
 bool ForwardRequest::CanRetry() {
-  return sends_ < route_->max_attempts && HasCandidateInTime();
+  return sends_ < route_->max_attempts &&
+         (ChooseRelayPeer() || HasCandidateInTime());
 }
 
 bool ForwardRequest::TryRetry(bool consumes_retry_budget) {
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -19,6 +19,10 @@
     HandleQuarantined();
     return true;
   }
+  if (const std::optional<RelayPeer> peer = ChooseRelayPeer()) {
+    SendToPeer(*peer);
+    return true;
+  }
   SendPlan plan;
   switch (Choose(plan)) {
     case PlacementResult::kPlaced:
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -16,8 +16,41 @@
 
 }  // namespace
 
+std::optional<RelayPeer> ForwardRequest::ChooseRelayPeer() {
+  if (!context_.reachability.is_cut_off() || call_.is_relayed) {
+    return std::nullopt;
+  }
+  std::vector<RelayPeer> peers = context_.relay_peers;
+  std::erase_if(peers, [this](const RelayPeer& it) {
+    return excluded_targets_.contains(EngineId(it.id.value()));
+  });
+  const auto is_remote = [this](const RelayPeer& it) {
+    return it.failure_domain != context_.settings.failure_domain;
+  };
+  if (!std::all_of(peers.begin(), peers.end(), is_remote)) {
+    std::erase_if(peers, is_remote);
+  }
+  if (peers.empty()) {
+    return std::nullopt;
+  }
+  return peers[context_.random.Next() % peers.size()];
+}
+
+void ForwardRequest::SendToPeer(const RelayPeer& peer) {
+  is_waiting_ = false;
+  plan_ = SendPlan();
+  plan_.target = {EngineId(peer.id.value()), peer.endpoint};
+  plan_.is_relay = true;
+  ++context_.relayed_requests;
+  Send();
+}
+
 AttemptTimeouts ForwardRequest::ChooseTimeouts(const SendPlan& plan) const {
   AttemptTimeouts timeouts;
+  if (plan.is_relay) {
+    // The other entry has timeouts of its own.
+    return timeouts;
+  }
   const bool has_alternative =
       IsIdempotent() && sends_ + 1 < route_->max_attempts;
   if (!has_alternative) {
@@ -106,6 +139,7 @@
   request.time_left = TimeLeft();
   request.last_event_id = framer_ ? framer_->last_event_id() : std::nullopt;
   request.helpers = plan.helpers;
+  request.is_relay = plan.is_relay;
   const AttemptTimeouts timeouts = ChooseTimeouts(plan);
   ++sends_;
   attempt_sent_at_ = context_.clock.Now();
@@ -116,6 +150,7 @@
       .Text("route", route_->name)
       .Text("service", service_.value())
       .Text("target", plan.target.id.value())
+      .Number("relay", plan.is_relay ? 1 : 0)
       .Number("helpers", static_cast<std::int64_t>(plan.helpers.size()))
       .Text("with", JoinHelperIds(plan.helpers))
       .Milliseconds("part", plan.part_prefill_time)
--- a/src/kingcupdrift/forwarding/peer_state_exchange.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.cc
@@ -153,6 +153,7 @@
   message.is_leaving = state.is_leaving;
   message.store_position = state.store_position;
   message.has_store = state.has_store;
+  message.is_cut_off = state.is_cut_off;
   message.requests_per_second = state.requests_per_second;
   return message;
 }
@@ -284,6 +285,7 @@
   }
   peer.is_leaving = message.is_leaving;
   peer.has_store = message.has_store;
+  peer.is_cut_off = message.is_cut_off;
   peer.requests_per_second = message.requests_per_second;
   if (message.store_changes && !observer_.OnState(*message.store_changes)) {
     RequestStoreState(peer);
--- a/src/kingcupdrift/forwarding/peer_state_exchange.h
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.h
@@ -11,6 +11,7 @@
 
 #include "kingcupdrift/base/base.h"
 #include "kingcupdrift/forwarding/entry_record.h"
+#include "kingcupdrift/forwarding/relay_peer.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 #include "kingcupdrift/store/reader_election.h"
 
@@ -23,6 +24,8 @@
   bool has_store = false;
   /// This entry is draining.
   bool is_leaving = false;
+  /// This entry can connect to no engine.
+  bool is_cut_off = false;
   /// Requests that callers sent to this entry lately.
   double requests_per_second = 0;
 };
@@ -135,8 +138,12 @@
   /// Endpoints of the serving group: this entry, unless it is draining, and
   /// all peers that have responded, are in reach and not draining. If that is
   /// at most one endpoint, this entry and all other peers that are not draining
-  /// are added.
+  /// are added. Entries that reach no engine are left out unless that leaves
+  /// none.
   std::vector<Endpoint> ListCallerEndpoints() const;
+  /// Peers of the serving group that are in reach, reach engines and are not
+  /// draining.
+  std::vector<RelayPeer> ListRelayPeers() const;
   bool is_serving() const { return is_serving_; }
   /// Number of listed entries, this one included, reachable or not.
   std::size_t CountEntries() const;
@@ -200,6 +207,8 @@
     bool has_responded = false;
     bool is_unreachable = false;
     bool is_leaving = false;
+    /// It can connect to no engine.
+    bool is_cut_off = false;
     /// It reads the platform's store and reaches it.
     bool has_store = false;
     /// It is in the serving group, by this entry's view.
@@ -240,6 +249,7 @@
   bool ReplaceOlderPeers(const EntryRecord& record,
                          const StorePosition& position,
                          RecordSource source);
+  std::vector<Endpoint> ListCallerEndpoints(bool with_cut_off) const;
   Peer* FindPeer(const InstanceId& id);
 
   Clock& clock_;
--- a/src/kingcupdrift/forwarding/peer_state_exchange_group.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange_group.cc
@@ -18,21 +18,31 @@
   const LocalEntryState local = observer_.GetLocalState();
   std::vector<ServingCandidate> candidates;
   candidates.reserve(peers_.size() + 1);
-  if (!local.is_leaving) {
+  // An entry that reaches no engine is replaced like one out of reach, unless
+  // all are such.
+  const bool has_engines =
+      !local.is_cut_off ||
+      std::any_of(peers_.begin(), peers_.end(), [](const auto& it) {
+        return !it.second.is_cut_off && !it.second.is_unreachable &&
+               !it.second.is_leaving;
+      });
+  if (!local.is_leaving && !(local.is_cut_off && has_engines)) {
     candidates.push_back(
         {local_entry_.id, local_entry_.failure_domain, local_entry_.cores});
   }
   double requests_per_second = local.requests_per_second;
   for (const auto& [id, peer] : peers_) {
-    if (!peer.is_leaving && !peer.is_unreachable) {
+    if (!peer.is_leaving && !peer.is_unreachable &&
+        !(peer.is_cut_off && has_engines)) {
       candidates.push_back({id, peer.record.failure_domain, peer.record.cores});
       requests_per_second += peer.requests_per_second;
     }
   }
   const std::set<InstanceId> group =
       ChooseServingGroup(std::move(candidates), requests_per_second);
-  const bool was_serving = std::exchange(
-      is_serving_, group.contains(local_entry_.id) || local.is_leaving);
+  const bool was_serving =
+      std::exchange(is_serving_, group.contains(local_entry_.id) ||
+                                     local.is_leaving || local.is_cut_off);
   for (auto& [id, peer] : peers_) {
     const bool was_expected = was_serving || peer.is_serving;
     peer.is_serving = group.contains(id);
@@ -76,14 +86,22 @@
 }
 
 std::vector<Endpoint> PeerStateExchange::ListCallerEndpoints() const {
-  const bool is_leaving = observer_.GetLocalState().is_leaving;
+  std::vector<Endpoint> endpoints = ListCallerEndpoints(false);
+  return endpoints.empty() ? ListCallerEndpoints(true) : endpoints;
+}
+
+std::vector<Endpoint> PeerStateExchange::ListCallerEndpoints(
+    bool with_cut_off) const {
+  const LocalEntryState local = observer_.GetLocalState();
+  const bool is_leaving =
+      local.is_leaving || (local.is_cut_off && !with_cut_off);
   std::vector<Endpoint> endpoints;
   if (!is_leaving && is_serving_) {
     endpoints.push_back(local_entry_.caller_endpoint);
   }
   for (const auto& [id, peer] : peers_) {
     if (peer.is_serving && peer.has_responded && !peer.is_unreachable &&
-        !peer.is_leaving) {
+        !peer.is_leaving && (with_cut_off || !peer.is_cut_off)) {
       endpoints.push_back(peer.record.caller_endpoint);
     }
   }
@@ -102,6 +120,18 @@
   return endpoints;
 }
 
+std::vector<RelayPeer> PeerStateExchange::ListRelayPeers() const {
+  std::vector<RelayPeer> relays;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.is_serving && peer.has_responded && !peer.is_unreachable &&
+        !peer.is_leaving && !peer.is_cut_off) {
+      relays.push_back(
+          {id, peer.record.caller_endpoint, peer.record.failure_domain});
+    }
+  }
+  return relays;
+}
+
 std::vector<InstanceId> PeerStateExchange::ListSendingEntries() const {
   std::vector<InstanceId> sending;
   std::vector<InstanceId> listed = {local_entry_.id};
--- a/src/kingcupdrift/forwarding/target_health.h
+++ b/src/kingcupdrift/forwarding/target_health.h
@@ -32,6 +32,8 @@
     return GetPauseLeft(target) > Duration::zero();
   }
   std::size_t CountPaused() const;
+  /// Ends all backoff; pauses stay.
+  void ForgetFailures() { failure_states_.clear(); }
   /// Another process now runs under the target's identifier.
   void Forget(const EngineId& target);
   /// `OnDown` was called less than `kDownBackoff` ago, and no success since.
--- a/src/kingcupdrift/interfaces/forward_call.h
+++ b/src/kingcupdrift/interfaces/forward_call.h
@@ -44,6 +44,8 @@
   std::optional<PromptSize> prompt;
   /// The caller has the events up to this one; the answer continues after it.
   std::optional<std::uint64_t> last_event_id;
+  /// Another entry, which reaches no engine, passed the call on.
+  bool is_relayed = false;
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -192,6 +192,8 @@
   StorePosition store_position;
   /// The sender reads the store and reaches it.
   bool has_store = false;
+  /// The sender can connect to no engine.
+  bool is_cut_off = false;
   /// Requests that callers sent to the sender lately.
   double requests_per_second = 0;
   /// Latest changes of the store, from the entry that reads it for the others.
--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -192,7 +192,7 @@
       changes, message.requests_per_second,
       EncodeCrashes(builder, message.crash_evidence.crashes),
       EncodePartSuccesses(builder, message.crash_evidence.successes),
-      EncodeLimits(builder, message.limits));
+      EncodeLimits(builder, message.limits), message.is_cut_off);
   return table;
 }
 
@@ -211,6 +211,7 @@
     return MakeFrameError("the era of the store is negative");
   }
   message.has_store = table.has_store();
+  message.is_cut_off = table.is_cut_off();
   if (!(table.requests_per_second() >= 0)) {
     return MakeFrameError("the rate of requests is not a number above zero");
   }
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -75,12 +75,19 @@
 std::unique_ptr<TargetCall> FakeTargetClient::Send(const EngineAddress& target,
                                                    const TargetRequest& request,
                                                    TargetObserver& observer) {
+  std::optional<ForwardCall> relayed_call;
+  if (request.is_relay) {
+    relayed_call = *request.call;
+    relayed_call->is_relayed = true;
+    relayed_call->time_limit = request.time_left;
+    relayed_call->last_event_id = request.last_event_id;
+  }
   auto send = std::make_shared<TargetSend>(
       TargetSend{target, request.call->id, request.workspace, request.time_left,
                  request.last_event_id, request.helpers,
                  request.call->prompt ? request.call->prompt->shared_parts
                                       : std::vector<PromptPartId>(),
-                 *request.call->body, &observer});
+                 *request.call->body, std::move(relayed_call), &observer});
   sends.push_back(send);
   return std::make_unique<FakeTargetCall>(send);
 }
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -33,6 +33,8 @@
   std::vector<PrefillHelper> helpers;
   std::vector<PromptPartId> shared_parts;
   std::string body;
+  /// The target is another entry, which gets this call.
+  std::optional<ForwardCall> relayed_call;
   /// Null once the forwarder has closed the connection.
   TargetObserver* observer = nullptr;
 };
--- a/tests/forwarding/model_engines_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -15,6 +15,53 @@
   return "targets/" + engine.value();
 }
 
+/// Writes an entry's answer to the entry that relayed the call.
+class RelaySink : public ForwardSink {
+ public:
+  explicit RelaySink(std::shared_ptr<TargetSend> send)
+      : send_(std::move(send)) {}
+
+  void Reply(const ServiceResponse& response) override {
+    WriteHead(response.status);
+    Write(*response.body);
+    End();
+  }
+  void Begin(int status, const HeaderList&) override { WriteHead(status); }
+  void Write(std::string_view bytes) override {
+    if (send_->observer != nullptr) {
+      send_->observer->OnBytes(bytes);
+    }
+  }
+  void End() override {
+    if (send_->observer != nullptr) {
+      send_->observer->OnEnd();
+    }
+  }
+  void Abort() override {
+    if (send_->observer != nullptr) {
+      send_->observer->OnFailed({ErrorCode::kConnectionLost, "closed"});
+    }
+  }
+  void Refuse(const ForwardRefusal& refusal) override {
+    WriteHead(GuaranteesNotRun(refusal.type) ? 503 : 502);
+    End();
+  }
+  void SetClosedCallback(std::function<void()>) override {}
+  void SetDrainedCallback(std::function<void()>) override {}
+  ByteCount GetUnsentBytes() const override { return ByteCount(0); }
+
+ private:
+  void WriteHead(int status) {
+    if (send_->observer != nullptr) {
+      TargetResponseHead head;
+      head.status = status;
+      send_->observer->OnResponseHead(head);
+    }
+  }
+
+  std::shared_ptr<TargetSend> send_;
+};
+
 }  // namespace
 
 ModelEnginesHarness::ModelEnginesHarness(int entries,
@@ -198,6 +245,26 @@
   }
 }
 
+void ModelEnginesHarness::DeliverRelay(
+    const std::shared_ptr<TargetSend>& send) {
+  const auto known = relays_.find(send);
+  if (known != relays_.end()) {
+    if (!known->second->is_running) {
+      send->observer->OnFailed({ErrorCode::kUnknownEffect, "reset"});
+    }
+    return;
+  }
+  for (const auto& node : nodes) {
+    if (node->is_running && node->endpoint.host == send->target.endpoint.host) {
+      relays_[send] = node.get();
+      node->gateway->Handle(*send->relayed_call,
+                            std::make_unique<RelaySink>(send));
+      return;
+    }
+  }
+  send->observer->OnFailed({ErrorCode::kUnavailable, "refused"});
+}
+
 void ModelEnginesHarness::Step() {
   ++step_;
   for (const auto& node : nodes) {
@@ -213,7 +280,9 @@
     }
     const auto sends = node->targets.sends;
     for (const auto& it : sends) {
-      if (it->observer != nullptr) {
+      if (it->observer != nullptr && it->relayed_call) {
+        DeliverRelay(it);
+      } else if (it->observer != nullptr) {
         AnswerSend(*node, *it);
       }
     }
@@ -245,7 +314,7 @@
   int n = 0;
   for (const auto& node : nodes) {
     for (const auto& it : node->targets.sends) {
-      n += IsCrashing(*it) ? 1 : 0;
+      n += IsCrashing(*it) && !it->relayed_call ? 1 : 0;
     }
   }
   return n;
--- a/tests/forwarding/model_engines_harness.h
+++ b/tests/forwarding/model_engines_harness.h
@@ -90,6 +90,8 @@
   /// answer.
   bool IsCut(const GatewayNode& node, TargetSend& send);
   bool IsCrashing(const TargetSend& send) const;
+  /// Passes a relayed call on to its entry.
+  void DeliverRelay(const std::shared_ptr<TargetSend>& send);
   void AnswerSend(GatewayNode& node, TargetSend& send);
 
   /// Services of the running engines.
@@ -98,6 +100,8 @@
   std::map<const GatewayNode*, Cut> cuts_;
   // Sends of an entry that came before it was cut off, by count.
   std::map<const GatewayNode*, std::set<const TargetSend*>> sends_before_cut_;
+  // Relayed calls that reached their entry, by entry.
+  std::map<std::shared_ptr<TargetSend>, GatewayNode*> relays_;
   std::map<RequestId, int> events_;
   std::map<EngineId, std::vector<int>> arrivals_;
   // Sends of each entry that are in `arrivals_`.
--- a/tests/net/forwarding_codec_test.cc
+++ b/tests/net/forwarding_codec_test.cc
@@ -23,6 +23,7 @@
   notes.suspects = {EngineId("c"), EngineId("d")};
   notes.wants_complete = true;
   notes.has_store = true;
+  notes.is_cut_off = true;
   notes.store_position = {StoreEra(3), StoreVersion(41)};
   notes.leaving_engines = {{EngineId("f"), Incarnation(1'700)}};
   PeerMessage message;
@@ -40,6 +41,7 @@
   CHECK(notes.wants_complete);
   CHECK_FALSE(notes.is_complete);
   CHECK(notes.has_store);
+  CHECK(notes.is_cut_off);
   CHECK(notes.store_position == StorePosition{StoreEra(3), StoreVersion(41)});
   CHECK(notes.leaving_engines ==
         std::vector<LeavingEngine>{{EngineId("f"), Incarnation(1'700)}});
--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -92,6 +92,40 @@
   }
 }
 
+TEST_CASE("a relayed call reaches the other entry as its caller sent it") {
+  const ForwardCall call = Decode({{"Host", "example:80"},
+                                   {"Request-Id", "5a"},
+                                   {"Authorization", "Bearer secret"},
+                                   {"Token-Counts", "1460,80"},
+                                   {"Prompt-Prefix", "5c:800,91:4"},
+                                   {"Tenant", "forged"}});
+  CHECK_FALSE(call.is_relayed);
+  TargetRequest request;
+  request.call = &call;
+  request.workspace = WorkspaceId("workspace");
+  request.time_left = std::chrono::milliseconds(900);
+  request.last_event_id = 4;
+  request.is_relay = true;
+  const HeaderList headers = EncodeRelayHeaders(request);
+  CHECK(Value(headers, "Tenant").empty());
+  CHECK(Value(headers, "Expected-Instance").empty());
+  const ForwardCall relayed = Decode(headers);
+  CHECK(relayed.is_relayed);
+  CHECK(relayed.id == call.id);
+  CHECK(relayed.host == "example");
+  CHECK(relayed.key == "secret");
+  CHECK(relayed.time_limit == std::chrono::milliseconds(900));
+  CHECK(relayed.last_event_id == 4);
+  REQUIRE(relayed.prompt);
+  CHECK(relayed.prompt->shared_parts == call.prompt->shared_parts);
+  // Engines get neither the key nor the mark.
+  request.call = &relayed;
+  const HeaderList to_engine = EncodeTargetHeaders(EngineAddress(), request);
+  CHECK(Value(to_engine, "Authorization").empty());
+  CHECK(Value(to_engine, "Kingcupdrift-Relayed").empty());
+  CHECK(Value(to_engine, "Tenant") == "workspace");
+}
+
 TEST_CASE("values of invalid headers are left out of the call") {
   const ForwardCall call = Decode({{"Host", "h"},
                                    {"Token-Counts", "many"},
