Drop crashes that an entry without links to engines reports

Callers would see: a new request that is in progress at an entry while its links to all engines break is refused by all entries for ten minutes, although no engine ended. Cause: broken connections and unanswered checks look like crashes to an entry that is cut off, the others take its evidence as it is, and nothing refutes it. Change: an engine that answers on a connection opened after its reported crash, under the same incarnation, has not crashed. Entries of the serving group check engines of reported crashes, tell each other of answers (EngineSurvival, a new list in WorkNotes), and check again when a cut ends. A cut off entry writes no quarantine to the store.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -161,7 +161,10 @@
         [listener = std::move(listener)](const EngineAddress& engine) {
           listener(engine.id);
         },
-        [this](const EngineAddress& engine) { HandleDown(engine); });
+        [this](const EngineAddress& engine) { HandleDown(engine); },
+        [this](const EngineAddress& engine, MonotonicTime opened_at) {
+          HandleCheckAnswer(engine, opened_at);
+        });
   }
 
   void SetRelayPeers(std::vector<RelayPeer> peers) override {
@@ -179,7 +182,20 @@
   }
 
   void ApplyCrashEvidence(const CrashEvidence& evidence) override {
-    context_.crash_monitor.Apply(evidence);
+    CrashEvidence current = evidence;
+    std::erase_if(current.survivals, [this](const EngineSurvival& it) {
+      return WasReplaced(it.engine, it.incarnation);
+    });
+    context_.crash_monitor.Apply(current);
+  }
+
+  void CheckReportedCrashes(const CrashEvidence& evidence) override {
+    for (const EngineCrash& it : evidence.crashes) {
+      if (context_.crash_monitor.HasCrash(it.engine, it.incarnation) &&
+          !WasReplaced(it.engine, it.incarnation)) {
+        CheckSuspect(it.engine);
+      }
+    }
   }
 
   std::vector<WorkKey> ListQuarantined() const override {
@@ -308,11 +324,25 @@
     if (!IsCutOff()) {
       // Failures during the cut were those of this entry.
       context_.health.ForgetFailures();
+      CheckReportedCrashes(ListCrashEvidence(WorkQuarantine::kQuarantineTime));
     }
     cut_off_listener_();
     context_.queue.Wake();
   }
 
+  // The engine's identifier belongs to a later process, so that an answer may
+  // be that of the later one.
+  bool WasReplaced(const EngineId& engine, Incarnation incarnation) const {
+    const TargetRecord* const listed = context_.directory.Find(engine);
+    return listed != nullptr && listed->address.incarnation > incarnation;
+  }
+
+  void HandleCheckAnswer(const EngineAddress& engine, MonotonicTime opened_at) {
+    if (!WasReplaced(engine.id, engine.incarnation)) {
+      context_.crash_monitor.OnEngineAnswered(engine, opened_at);
+    }
+  }
+
   void HandleDown(const EngineAddress& engine) {
     ++context_.engines_found_down;
     context_.crash_monitor.OnEngineDown(engine);
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -111,6 +111,9 @@
   virtual void SetCrashEvidenceListener(CrashEvidenceListener listener) = 0;
   /// Adds what another entry found out about crashes of engines.
   virtual void ApplyCrashEvidence(const CrashEvidence& evidence) = 0;
+  /// Checks the engines of these crashes that are still listed: an answer shows
+  /// that the entry which reported the crash lost its own links.
+  virtual void CheckReportedCrashes(const CrashEvidence& evidence) = 0;
   /// Crashes of at most this age, from this and other entries.
   virtual CrashEvidence ListCrashEvidence(Duration max_age) const = 0;
   /// Keys of work that is held back.
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -158,6 +158,9 @@
 
   void OnCrashEvidence(const CrashEvidence& evidence) override {
     forwarder_->ApplyCrashEvidence(evidence);
+    if (peer_exchange_.is_serving()) {
+      forwarder_->CheckReportedCrashes(evidence);
+    }
   }
 
   CrashEvidence ListCrashEvidence(Duration max_age) const override {
@@ -215,7 +218,8 @@
     forwarder_->SetSendingEntries(peer_exchange_.ListSendingEntries());
     forwarder_->SetRelayPeers(peer_exchange_.ListRelayPeers());
     election_.Update(recent, mirror_.IsStoreReachable(), is_serving);
-    if (election_.is_first_reader()) {
+    // An entry that reaches no engine can't refute what it believes of them.
+    if (election_.is_first_reader() && !forwarder_->IsCutOff()) {
       quarantine_records_.Write(forwarder_->ListQuarantined());
     }
     if (election_.should_read() == mirror_.is_reading()) {
--- a/src/kingcupdrift/forwarding/internal/crash_monitor.cc
+++ b/src/kingcupdrift/forwarding/internal/crash_monitor.cc
@@ -58,6 +58,15 @@
   LogChanges();
 }
 
+void CrashMonitor::OnEngineAnswered(const EngineAddress& engine,
+                                    MonotonicTime opened_at) {
+  const Duration age = clock_.Now() - opened_at;
+  if (quarantine_.AddSurvival(engine.id, engine.incarnation, age)) {
+    listener_({{}, {}, {{engine.id, engine.incarnation, age}}});
+    LogChanges();
+  }
+}
+
 void CrashMonitor::OnAnswered(const std::vector<WorkKey>& keys) {
   CrashEvidence evidence;
   evidence.successes = quarantine_.AddSuccess(keys, Duration::zero());
@@ -80,7 +89,15 @@
   for (const WorkSuccess& it : evidence.successes) {
     quarantine_.AddSuccess({it.key}, it.age);
   }
+  for (const EngineSurvival& it : evidence.survivals) {
+    quarantine_.AddSurvival(it.engine, it.incarnation, it.age);
+  }
   CrashEvidence known;
+  for (const EngineCrash& it : evidence.crashes) {
+    if (const auto survival = quarantine_.FindSurvival(it)) {
+      known.survivals.push_back(*survival);
+    }
+  }
   for (const auto& [key, success] : known_successes) {
     known.successes.push_back(success);
   }
@@ -91,7 +108,7 @@
 }
 
 CrashEvidence CrashMonitor::ListEvidence(Duration max_age) const {
-  return {quarantine_.ListCrashes(max_age), {}};
+  return {quarantine_.ListCrashes(max_age), {}, {}};
 }
 
 std::vector<WorkKey> CrashMonitor::ListQuarantined() const {
--- a/src/kingcupdrift/forwarding/internal/crash_monitor.h
+++ b/src/kingcupdrift/forwarding/internal/crash_monitor.h
@@ -36,12 +36,18 @@
                      const std::vector<WorkKey>& keys);
   /// A check failed, or another process took the engine's place.
   void OnEngineDown(const EngineAddress& engine);
+  /// The engine answered on a connection that was opened at `opened_at`, so
+  /// that it had not ended before.
+  void OnEngineAnswered(const EngineAddress& engine, MonotonicTime opened_at);
   /// An engine answered a request with these keys whole, or for
   /// `kProvingTime`.
   void OnAnswered(const std::vector<WorkKey>& keys);
 
   /// Adds what another entry reports.
   void Apply(const CrashEvidence& evidence);
+  bool HasCrash(const EngineId& engine, Incarnation incarnation) const {
+    return quarantine_.HasCrash(engine, incarnation);
+  }
   /// Crashes known here, also from other entries, of at most this age.
   CrashEvidence ListEvidence(Duration max_age) const;
 
--- a/src/kingcupdrift/forwarding/internal/engine_checker.cc
+++ b/src/kingcupdrift/forwarding/internal/engine_checker.cc
@@ -4,9 +4,12 @@
 
 namespace kingcupdrift {
 
-void EngineChecker::SetListeners(Listener on_suspected, Listener on_down) {
+void EngineChecker::SetListeners(Listener on_suspected,
+                                 Listener on_down,
+                                 AnswerListener on_answer) {
   on_suspected_ = std::move(on_suspected);
   on_down_ = std::move(on_down);
+  on_answer_ = std::move(on_answer);
 }
 
 void EngineChecker::ReportSuspect(const EngineAddress& engine) {
@@ -47,6 +50,7 @@
   engines_in_check_.erase(engine.id);
   if (answer) {
     reachability_.OnAnswer(opened_at);
+    on_answer_(engine, opened_at);
   } else {
     reachability_.OnConnectFailure(engine.id);
   }
--- a/src/kingcupdrift/forwarding/internal/engine_checker.h
+++ b/src/kingcupdrift/forwarding/internal/engine_checker.h
@@ -33,9 +33,14 @@
         reachability_(reachability),
         log_(log) {}
 
+  using AnswerListener =
+      std::function<void(const EngineAddress& engine, MonotonicTime opened_at)>;
   /// `on_suspected` is called for each engine that this entry itself suspects,
-  /// `on_down` for each engine that failed its check.
-  void SetListeners(Listener on_suspected, Listener on_down);
+  /// `on_down` for each engine that failed its check, and `on_answer` for each
+  /// that answered, with the time at which the connection was opened.
+  void SetListeners(Listener on_suspected,
+                    Listener on_down,
+                    AnswerListener on_answer);
 
   /// Reports and checks an engine: an attempt at it failed, or another engine
   /// blames it. Does nothing while it is being checked, known to be down, or
@@ -67,6 +72,7 @@
   DecisionLog& log_;
   Listener on_suspected_ = [](const EngineAddress&) {};
   Listener on_down_ = [](const EngineAddress&) {};
+  AnswerListener on_answer_ = [](const EngineAddress&, MonotonicTime) {};
   std::set<EngineId> engines_in_check_;
   // Expires with the checker, so that callbacks of calls that outlive it do
   // nothing.
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -69,6 +69,7 @@
 void ForwardRequest::ReportConnected() {
   if (!plan_.is_relay) {
     context_.reachability.OnAnswer(attempt_sent_at_);
+    context_.crash_monitor.OnEngineAnswered(plan_.target, attempt_sent_at_);
   }
 }
 
--- a/src/kingcupdrift/forwarding/peer_state_exchange.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.cc
@@ -130,6 +130,8 @@
                          evidence.crashes.end());
   pending.successes.insert(pending.successes.end(), evidence.successes.begin(),
                            evidence.successes.end());
+  pending.survivals.insert(pending.survivals.end(), evidence.survivals.begin(),
+                           evidence.survivals.end());
   FlushSoon();
 }
 
--- a/src/kingcupdrift/forwarding/work_quarantine.cc
+++ b/src/kingcupdrift/forwarding/work_quarantine.cc
@@ -11,6 +11,9 @@
   const MonotonicTime now = clock_.Now();
   const MonotonicTime time = now - std::max(crash.age, Duration::zero());
   std::vector<WorkSuccess> known;
+  if (FindSurvival(crash)) {
+    return known;
+  }
   const auto [it, is_new] =
       crashes_.try_emplace({crash.engine, crash.incarnation}, Crash{time, {}});
   for (const SuspectWork& suspect : crash.suspects) {
@@ -29,6 +32,38 @@
   return known;
 }
 
+bool WorkQuarantine::AddSurvival(const EngineId& engine,
+                                 Incarnation incarnation,
+                                 Duration age) {
+  const MonotonicTime now = clock_.Now();
+  const MonotonicTime time = now - std::max(age, Duration::zero());
+  std::erase_if(survivals_, [now](const auto& it) {
+    return now - it.second > kSurvivalMemory;
+  });
+  const auto crash = crashes_.find({engine, incarnation});
+  if (crash == crashes_.end() || time < crash->second.time) {
+    return false;
+  }
+  crashes_.erase(crash);
+  MonotonicTime& last = survivals_[{engine, incarnation}];
+  last = std::max(last, time);
+  AssignBlame();
+  return true;
+}
+
+std::optional<EngineSurvival> WorkQuarantine::FindSurvival(
+    const EngineCrash& crash) const {
+  const auto it = survivals_.find({crash.engine, crash.incarnation});
+  if (it == survivals_.end()) {
+    return std::nullopt;
+  }
+  const Duration age = clock_.Now() - it->second;
+  if (crash.age < age) {
+    return std::nullopt;
+  }
+  return EngineSurvival{crash.engine, crash.incarnation, age};
+}
+
 std::vector<WorkSuccess> WorkQuarantine::AddSuccess(
     const std::vector<WorkKey>& keys,
     Duration age) {
--- a/src/kingcupdrift/forwarding/work_quarantine.h
+++ b/src/kingcupdrift/forwarding/work_quarantine.h
@@ -37,6 +37,19 @@
   std::vector<WorkSuccess> AddSuccess(const std::vector<WorkKey>& keys,
                                       Duration age);
 
+  /// The engine's process answered on a connection that was opened `age` ago:
+  /// it had not ended before, and earlier reports of its end are dropped, also
+  /// those that come later. True if there were any.
+  bool AddSurvival(const EngineId& engine,
+                   Incarnation incarnation,
+                   Duration age);
+  /// The survival that refutes this crash, if one is known.
+  std::optional<EngineSurvival> FindSurvival(const EngineCrash& crash) const;
+  /// The crash is known here and not refuted.
+  bool HasCrash(const EngineId& engine, Incarnation incarnation) const {
+    return crashes_.contains({engine, incarnation});
+  }
+
   /// A record says that the key is in quarantine, as other entries (serving
   /// processes) found. Ends with an answer, `kQuarantineTime` from now, or with
   /// `RemoveRecord`.
@@ -69,6 +82,8 @@
   /// again, as the engines may have been mended.
   static constexpr Duration kQuarantineTime = std::chrono::minutes(10);
   static constexpr std::size_t kMaxCrashes = 512;
+  /// Reports of a crash arrive no later than this after it.
+  static constexpr Duration kSurvivalMemory = std::chrono::minutes(1);
   static constexpr std::size_t kMaxSuspects = 256;
   /// The keys answered last are remembered, this many.
   static constexpr std::size_t kMaxAnsweredParts = 16'384;
@@ -109,6 +124,9 @@
 
   const Clock& clock_;
   std::map<EngineProcess, Crash> crashes_;
+  // Times of the connections on which engines answered that were reported as
+  // ended.
+  std::map<EngineProcess, MonotonicTime> survivals_;
   std::map<WorkKey, Quarantined> quarantined_;
   // Ends of the quarantines that records tell of.
   std::map<WorkKey, MonotonicTime> recorded_;
--- a/src/kingcupdrift/interfaces/crash_evidence.h
+++ b/src/kingcupdrift/interfaces/crash_evidence.h
@@ -37,13 +37,26 @@
   Duration age{0};
 };
 
+/// An engine's process answered on a new connection, so that it had not ended
+/// before.
+struct EngineSurvival {
+  EngineId engine;
+  Incarnation incarnation;
+  /// Time since the connection was opened.
+  Duration age{0};
+};
+
 /// What entries (serving processes) tell each other about work that may crash
 /// engines.
 struct CrashEvidence {
   std::vector<EngineCrash> crashes;
   std::vector<WorkSuccess> successes;
+  /// Of engines that were reported as crashed.
+  std::vector<EngineSurvival> survivals = {};
 
-  bool empty() const { return crashes.empty() && successes.empty(); }
+  bool empty() const {
+    return crashes.empty() && successes.empty() && survivals.empty();
+  }
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/internal/crash_evidence_codec.cc
+++ b/src/kingcupdrift/net/internal/crash_evidence_codec.cc
@@ -66,9 +66,23 @@
   return builder.CreateVector(out);
 }
 
+Offset<WireSurvivals> EncodeSurvivals(
+    FlatBufferBuilder& builder,
+    const std::vector<EngineSurvival>& survivals) {
+  std::vector<Offset<wire::EngineSurvival>> out;
+  out.reserve(survivals.size());
+  for (const EngineSurvival& it : survivals) {
+    out.push_back(wire::CreateEngineSurvival(
+        builder, builder.CreateString(it.engine.value()),
+        it.incarnation.value(), it.age.count()));
+  }
+  return builder.CreateVector(out);
+}
+
 Result<CrashEvidence> DecodeCrashEvidence(const wire::WorkNotes& table) {
   if (!IsWithin(table.crashes(), kMaxPeerNotes) ||
-      !IsWithin(table.part_successes(), kMaxPeerNotes)) {
+      !IsWithin(table.part_successes(), kMaxPeerNotes) ||
+      !IsWithin(table.survivals(), kMaxPeerNotes)) {
     return MakeFrameError("a list in the frame is too long");
   }
   CrashEvidence evidence;
@@ -90,6 +104,16 @@
           {WorkKey(it->part()->str()), Duration(it->age_us())});
     }
   }
+  if (table.survivals() != nullptr) {
+    for (const wire::EngineSurvival* const it : *table.survivals()) {
+      if (it->age_us() < 0) {
+        return MakeFrameError("the age of an engine's answer is negative");
+      }
+      evidence.survivals.push_back({EngineId(it->engine()->str()),
+                                    Incarnation(it->incarnation()),
+                                    Duration(it->age_us())});
+    }
+  }
   return evidence;
 }
 
--- a/src/kingcupdrift/net/internal/crash_evidence_codec.h
+++ b/src/kingcupdrift/net/internal/crash_evidence_codec.h
@@ -9,6 +9,8 @@
 using WireCrashes = flatbuffers::Vector<flatbuffers::Offset<wire::EngineCrash>>;
 using WirePartSuccesses =
     flatbuffers::Vector<flatbuffers::Offset<wire::PromptPartSuccess>>;
+using WireSurvivals =
+    flatbuffers::Vector<flatbuffers::Offset<wire::EngineSurvival>>;
 
 flatbuffers::Offset<WireCrashes> EncodeCrashes(
     flatbuffers::FlatBufferBuilder& builder,
@@ -17,6 +19,10 @@
     flatbuffers::FlatBufferBuilder& builder,
     const std::vector<WorkSuccess>& successes);
 
+flatbuffers::Offset<WireSurvivals> EncodeSurvivals(
+    flatbuffers::FlatBufferBuilder& builder,
+    const std::vector<EngineSurvival>& survivals);
+
 /// kProtocol: a list is too long or an age is negative.
 Result<CrashEvidence> DecodeCrashEvidence(const wire::WorkNotes& table);
 
--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -192,7 +192,8 @@
       changes, message.requests_per_second,
       EncodeCrashes(builder, message.crash_evidence.crashes),
       EncodePartSuccesses(builder, message.crash_evidence.successes),
-      EncodeLimits(builder, message.limits), message.is_cut_off);
+      EncodeLimits(builder, message.limits), message.is_cut_off,
+      EncodeSurvivals(builder, message.crash_evidence.survivals));
   return table;
 }
 
--- a/tests/forwarding/crashing_requests_test.cc
+++ b/tests/forwarding/crashing_requests_test.cc
@@ -216,5 +216,45 @@
   }
 }
 
+// Guards against entries that take the end of their own links for crashes, and
+// make the others hold back what they asked for.
+TEST_CASE("no request is held back since an entry is cut off from engines") {
+  using Cut = ModelEnginesHarness::Cut;
+  for (const std::string path : {"/safe/", "/once/", "/prompt/"}) {
+    for (const Cut cut : {Cut::kHang, Cut::kReset}) {
+      for (const std::size_t cut_count : {1, 3}) {
+        CAPTURE(path);
+        CAPTURE(static_cast<int>(cut));
+        CAPTURE(cut_count);
+        ModelEnginesHarness harness(6);
+        harness.AddPlainTargets(6);
+        // The request is new, and in progress at several engines.
+        for (int i = 0; i < 6; ++i) {
+          for (std::size_t node = 0; node < cut_count; ++node) {
+            harness.Ask(node, path + "x", "new");
+          }
+        }
+        for (std::size_t node = 0; node < cut_count; ++node) {
+          harness.SetCut(node, cut);
+        }
+        std::vector<std::shared_ptr<CallerRecord>> sound;
+        for (int i = 0; i < 100; ++i) {
+          for (std::size_t node = cut_count; node < harness.size(); ++node) {
+            if (i > 20) {
+              sound.push_back(harness.Ask(node, path + "x", "new"));
+            }
+          }
+          harness.Step();
+        }
+        harness.Steps(30);
+        for (const auto& it : sound) {
+          REQUIRE_FALSE(it->refusal);
+        }
+        CHECK(harness.model.List("kingcupdrift/quarantine/").empty());
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
--- a/tests/forwarding/work_quarantine_test.cc
+++ b/tests/forwarding/work_quarantine_test.cc
@@ -219,6 +219,35 @@
   CHECK_FALSE(harness.IsHeldBack(request));
 }
 
+// Guards against crashes that only an entry without links to engines saw.
+TEST_CASE("an engine that answers later did not crash") {
+  QuarantineHarness harness;
+  for (int i = 0; i < 3; ++i) {
+    harness.Crash({kBad});
+  }
+  const EngineCrash last = harness.last_crash;
+  harness.clock.Advance(milliseconds(200));
+  // Answers from before the crash, or of another process, say nothing.
+  CHECK_FALSE(harness.quarantine.AddSurvival(last.engine, last.incarnation,
+                                             milliseconds(300)));
+  CHECK_FALSE(harness.quarantine.AddSurvival(last.engine, Incarnation(1),
+                                             Duration::zero()));
+  CHECK(harness.IsHeldBack(kBad));
+  CHECK(harness.quarantine.AddSurvival(last.engine, last.incarnation,
+                                       milliseconds(100)));
+  CHECK_FALSE(harness.IsHeldBack(kBad));
+  // A late report of the same crash.
+  EngineCrash late = last;
+  late.age = milliseconds(200);
+  harness.quarantine.AddCrash(late);
+  CHECK_FALSE(harness.IsHeldBack(kBad));
+  CHECK(harness.quarantine.FindSurvival(late));
+  // A crash after the answer counts.
+  late.age = Duration::zero();
+  harness.quarantine.AddCrash(late);
+  CHECK(harness.IsHeldBack(kBad));
+}
+
 TEST_CASE("a record holds a part back until it is deleted or answered") {
   QuarantineHarness harness;
   harness.quarantine.AddRecord(kBad);
--- a/tests/net/forwarding_codec_test.cc
+++ b/tests/net/forwarding_codec_test.cc
@@ -66,6 +66,8 @@
                    std::chrono::milliseconds(30),
                    {{WorkKey("5c"), 0}, {WorkKey("91"), 3}}}};
   sent.successes = {{WorkKey("5c"), std::chrono::milliseconds(40)}};
+  sent.survivals = {
+      {EngineId("f"), Incarnation(8), std::chrono::milliseconds(50)}};
   auto frame = DecodePeerFrame(EncodePeerMessage(message));
   REQUIRE(frame);
   REQUIRE(*frame);
@@ -79,6 +81,13 @@
   REQUIRE(evidence.successes.size() == 1);
   CHECK(evidence.successes[0].key == WorkKey("5c"));
   CHECK(evidence.successes[0].age == std::chrono::milliseconds(40));
+  REQUIRE(evidence.survivals.size() == 1);
+  CHECK(evidence.survivals[0].engine == EngineId("f"));
+  CHECK(evidence.survivals[0].incarnation == Incarnation(8));
+  CHECK(evidence.survivals[0].age == std::chrono::milliseconds(50));
+  sent.survivals[0].age = Duration(-1);
+  CHECK_FALSE(DecodePeerFrame(EncodePeerMessage(message)));
+  sent.survivals.clear();
   sent.successes[0].age = Duration(-1);
   CHECK_FALSE(DecodePeerFrame(EncodePeerMessage(message)));
   sent.successes.clear();
