Test checks and relayed calls over sockets

Cause: that a check of a plain target succeeds with any answer, and how a relayed call arrives at the other entry, was shown by decoding alone. Change: target_http_client_test against a server on loopback.

--- /dev/null
+++ b/tests/platform/target_http_client_test.cc
@@ -0,0 +1,102 @@
+#include "platform/internal/target_http_client.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "platform/internal/wire_headers.h"
+#include "tests/net/net_fixture.h"
+
+namespace kingcupdrift::platform {
+namespace {
+
+/// A server at a target's address, and a client that calls it.
+struct TargetFixture : NetFixture, EngineNoticeObserver, TargetObserver {
+  TargetFixture() {
+    server = Serve([this](std::unique_ptr<HttpExchange> exchange) {
+      received.push_back(DecodeCall(*exchange));
+      exchange->Respond(status, {{"Server-Leaving", "1"}, {"Stamp", "s"}},
+                        std::make_shared<const std::string>("answer"));
+    });
+    targets->SetNoticeObserver(*this);
+    target = {EngineId("target"), server->endpoint()};
+  }
+
+  bool Check() {
+    std::optional<bool> answers;
+    targets->Check(target, std::chrono::seconds(1),
+                   [&](const Result<void>& it) { answers = it.has_value(); });
+    Await([&] { return answers.has_value(); });
+    return *answers;
+  }
+
+  void OnEngineNotice(const EngineAddress&, const EngineNotice&) override {
+    ++notices;
+  }
+  void OnResponseHead(TargetResponseHead answer) override {
+    head = std::move(answer);
+  }
+  void OnBytes(std::string_view bytes) override { body += bytes; }
+  void OnEnd() override { is_ended = true; }
+  void OnFailed(Error) override { is_ended = true; }
+
+  std::unique_ptr<TargetClient> targets = CreateTargetClient(*client);
+  std::unique_ptr<HttpServer> server;
+  EngineAddress target;
+  int status = 200;
+  std::vector<ForwardCall> received;
+  int notices = 0;
+  TargetResponseHead head;
+  std::string body;
+  bool is_ended = false;
+};
+
+// Guards against plain targets, which know no report, that count as ended.
+TEST_CASE("a check succeeds with any answer of the target's own process") {
+  TargetFixture fixture;
+  for (const int status : {200, 400, 404, 500, 503}) {
+    CAPTURE(status);
+    fixture.status = status;
+    CHECK(fixture.Check());
+  }
+  // Another process has the target's address.
+  fixture.status = 421;
+  CHECK_FALSE(fixture.Check());
+  fixture.server.reset();
+  CHECK_FALSE(fixture.Check());
+}
+
+TEST_CASE("a relayed call and its answer pass through unchanged") {
+  TargetFixture fixture;
+  ForwardCall call;
+  call.id = RequestId("5a");
+  call.method = "POST";
+  call.target = "/p/x?y=1";
+  call.headers = {{"Host", "example"}, {"Request-Id", "5a"}};
+  call.body = std::make_shared<const std::string>("body");
+  call.key = "secret";
+  TargetRequest request;
+  request.call = &call;
+  request.time_left = std::chrono::milliseconds(900);
+  request.is_relay = true;
+  const auto sent = fixture.targets->Send(fixture.target, request, fixture);
+  fixture.Await([&] { return fixture.is_ended; });
+  REQUIRE(fixture.received.size() == 1);
+  const ForwardCall& relayed = fixture.received[0];
+  CHECK(relayed.is_relayed);
+  CHECK(relayed.id == call.id);
+  CHECK(relayed.host == "example");
+  CHECK(relayed.target == call.target);
+  CHECK(*relayed.body == "body");
+  CHECK(relayed.key == "secret");
+  CHECK(relayed.time_limit == std::chrono::milliseconds(900));
+  CHECK(fixture.head.status == 200);
+  CHECK(fixture.body == "answer");
+  // What the other entry passes on says nothing about itself.
+  CHECK(fixture.notices == 0);
+}
+
+}  // namespace
+}  // namespace kingcupdrift::platform
