Clear no work of crashes by another entry's own client error

Cause: a relayed call that another entry answered with 404 or 401 counted as answered by an engine, and cleared the request of the crashes that it was suspected of.

--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -7,6 +7,7 @@
 namespace kingcupdrift {
 namespace {
 
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusServerError = 500;
 
 /// Statuses with which entries state that a request has not run.
@@ -98,12 +99,14 @@
            "the request may have run before another entry refused it");
     return;
   }
-  const bool has_failed = result.response.status >= kStatusServerError;
-  if (!has_failed) {
+  // A client error may be the other entry's own.
+  if (result.response.status < kStatusBadRequest) {
     ReportAnswered();
   }
   sink_->Reply(result.response);
-  Finish(has_failed ? "target_error" : "completed", "");
+  Finish(result.response.status >= kStatusServerError ? "target_error"
+                                                      : "completed",
+         "");
 }
 
 Duration ForwardRequest::GetQuarantineLeft() const {
