--- a/tests/forwarding/model_engines_harness.h
+++ b/tests/forwarding/model_engines_harness.h
@@ -98,7 +98,7 @@
   std::map<EngineId, std::string> engines_;
   std::vector<Restart> restarts_;
   std::map<const GatewayNode*, Cut> cuts_;
-  // Sends of an entry that came before it was cut off, by count.
+  // Sends of each entry that was cut off, from before the cut.
   std::map<const GatewayNode*, std::set<const TargetSend*>> sends_before_cut_;
   // Relayed calls that reached their entry, by entry.
   std::map<std::shared_ptr<TargetSend>, GatewayNode*> relays_;
