--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -9,7 +9,7 @@
 
 #include "kingcupdrift/forwarding/internal/forward_context.h"
 #include "kingcupdrift/forwarding/internal/forward_request.h"
-#include "kingcupdrift/forwarding/work_key.h"
+#include "kingcupdrift/forwarding/internal/forwarding_metrics.h"
 
 namespace kingcupdrift {
 namespace {
@@ -106,7 +106,7 @@
     }
     if (notice.pause > Duration::zero() && IsListed(engine)) {
       context_.health.Pause(engine.id, notice.pause);
-      ++pauses_;
+      ++context_.pauses;
       context_.log.Add("forward", "pause")
           .Text("target", engine.id.value())
           .Milliseconds("asked", notice.pause)
@@ -241,47 +241,7 @@
   }
 
   std::string GetMetricsText() const override {
-    std::string out = "# TYPE kingcupdrift_forwarded_total counter\n";
-    for (const auto& [outcome, count] : context_.outcomes) {
-      out += "kingcupdrift_forwarded_total{outcome=\"" + outcome + "\"} " +
-             std::to_string(count) + "\n";
-    }
-    const auto add_gauge = [&out](const std::string& name, std::size_t value) {
-      out += "# TYPE " + name + " gauge\n" + name + " " +
-             std::to_string(value) + "\n";
-    };
-    add_gauge("kingcupdrift_requests_in_progress", requests_.size());
-    add_gauge("kingcupdrift_requests_waiting", context_.queue.size());
-    add_gauge("kingcupdrift_log_lines_dropped", context_.log.dropped());
-    add_gauge("kingcupdrift_targets_leaving",
-              context_.directory.ListLeaving().size());
-    add_gauge("kingcupdrift_targets_paused", context_.health.CountPaused());
-    add_gauge("kingcupdrift_targets_limited",
-              context_.rate_limiter.CountLimited());
-    const std::vector<WorkKey> quarantined =
-        context_.crash_monitor.ListQuarantined();
-    const auto requests = static_cast<std::size_t>(
-        std::count_if(quarantined.begin(), quarantined.end(), IsRequestKey));
-    add_gauge("kingcupdrift_prompt_parts_quarantined",
-              quarantined.size() - requests);
-    add_gauge("kingcupdrift_requests_quarantined", requests);
-    add_gauge("kingcupdrift_engines_in_reach",
-              context_.reachability.is_cut_off() ? 0 : 1);
-    const auto add_counter = [&out](const std::string& name,
-                                    std::uint64_t value) {
-      out += "# TYPE " + name + " counter\n" + name + " " +
-             std::to_string(value) + "\n";
-    };
-    add_counter("kingcupdrift_target_pauses_total", pauses_);
-    add_counter("kingcupdrift_requests_relayed_total",
-                context_.relayed_requests);
-    add_counter("kingcupdrift_engines_found_down_total",
-                context_.engines_found_down);
-    add_counter("kingcupdrift_attempts_interrupted_before_first_event_total",
-                context_.interrupted_before_first_event);
-    add_counter("kingcupdrift_attempts_interrupted_in_stream_total",
-                context_.interrupted_streams);
-    return out;
+    return FormatForwardingMetrics(context_, requests_.size());
   }
 
  private:
@@ -364,8 +324,6 @@
   LeavingListener leaving_listener_ = [](const LeavingEngine&) {};
   LimitListener limit_listener_ = [](const EngineLimit&) {};
   std::function<void()> cut_off_listener_ = [] {};
-  // Times that an engine asked for a pause.
-  std::uint64_t pauses_ = 0;
 };
 
 }  // namespace
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -77,6 +77,8 @@
   // Attempts that may have run and brought no whole answer, for metrics.
   std::uint64_t interrupted_before_first_event = 0;
   std::uint64_t interrupted_streams = 0;
+  // Times that an engine asked for a pause, for metrics.
+  std::uint64_t pauses = 0;
   // Checks that found an engine down, for metrics.
   std::uint64_t engines_found_down = 0;
   // Number of requests by outcome, for metrics.
--- /dev/null
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -0,0 +1,55 @@
+#include "kingcupdrift/forwarding/internal/forwarding_metrics.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "kingcupdrift/forwarding/work_key.h"
+
+namespace kingcupdrift {
+
+std::string FormatForwardingMetrics(const ForwardContext& context,
+                                    std::size_t requests_in_progress) {
+  std::string out = "# TYPE kingcupdrift_forwarded_total counter\n";
+  for (const auto& [outcome, count] : context.outcomes) {
+    out += "kingcupdrift_forwarded_total{outcome=\"" + outcome + "\"} " +
+           std::to_string(count) + "\n";
+  }
+  const auto add_gauge = [&out](const std::string& name, std::size_t value) {
+    out += "# TYPE " + name + " gauge\n" + name + " " + std::to_string(value) +
+           "\n";
+  };
+  add_gauge("kingcupdrift_requests_in_progress", requests_in_progress);
+  add_gauge("kingcupdrift_requests_waiting", context.queue.size());
+  add_gauge("kingcupdrift_log_lines_dropped", context.log.dropped());
+  add_gauge("kingcupdrift_targets_leaving",
+            context.directory.ListLeaving().size());
+  add_gauge("kingcupdrift_targets_paused", context.health.CountPaused());
+  add_gauge("kingcupdrift_targets_limited",
+            context.rate_limiter.CountLimited());
+  const std::vector<WorkKey> quarantined =
+      context.crash_monitor.ListQuarantined();
+  const auto requests = static_cast<std::size_t>(
+      std::count_if(quarantined.begin(), quarantined.end(), IsRequestKey));
+  add_gauge("kingcupdrift_prompt_parts_quarantined",
+            quarantined.size() - requests);
+  add_gauge("kingcupdrift_requests_quarantined", requests);
+  add_gauge("kingcupdrift_engines_in_reach",
+            context.reachability.is_cut_off() ? 0 : 1);
+  const auto add_counter = [&out](const std::string& name,
+                                  std::uint64_t value) {
+    out += "# TYPE " + name + " counter\n" + name + " " +
+           std::to_string(value) + "\n";
+  };
+  add_counter("kingcupdrift_target_pauses_total", context.pauses);
+  add_counter("kingcupdrift_requests_relayed_total", context.relayed_requests);
+  add_counter("kingcupdrift_engines_found_down_total",
+              context.engines_found_down);
+  add_counter("kingcupdrift_attempts_interrupted_before_first_event_total",
+              context.interrupted_before_first_event);
+  add_counter("kingcupdrift_attempts_interrupted_in_stream_total",
+              context.interrupted_streams);
+  return out;
+}
+
+}  // namespace kingcupdrift
