Send nothing new to targets of evacuated failure domains

Change: the directory of targets takes the targets of evacuated failure domains out of use on every path to them: attempts, retries, resumed streams, prefill parts, reservations and checks.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -143,6 +143,18 @@
     }
   }
 
+  void SetEvacuated(const FailureDomain& domain, bool is_evacuated) override {
+    if (!context_.directory.SetEvacuated(domain, is_evacuated)) {
+      return;
+    }
+    context_.log.Add("forward", "evacuation")
+        .Text("failure_domain", domain.value())
+        .Text("state", is_evacuated ? "evacuated" : "taken back")
+        .Number("requests", static_cast<std::int64_t>(requests_.size()));
+    // Waiting requests are placed again, or refused if no target is left.
+    context_.queue.Wake();
+  }
+
   void SetStopDeadline(MonotonicTime end) override {
     context_.stop = {context_.clock.Now() + kStopNoticePeriod, end};
   }
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -65,6 +65,10 @@
   /// `TargetDirectory::kRemovalDelay`.
   virtual void RemoveTarget(const EngineId& id, bool is_confirmed) = 0;
 
+  /// Operators evacuate the failure domain: its targets get no request, prefill
+  /// part or reservation until it is taken back. What runs there goes on.
+  virtual void SetEvacuated(const FailureDomain& domain, bool is_evacuated) = 0;
+
   /// Announces that the entry stops at `end`. After `kStopNoticePeriod`,
   /// requests whose time limit ends after `end` are refused. Nothing happens at
   /// `end` by itself.
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -275,6 +275,10 @@
       case ItemKind::kTarget:
         HandleTargetRecord(event);
         return;
+      case ItemKind::kEvacuation:
+        forwarder_->SetEvacuated(deps_.decoder.ParseEvacuatedDomain(event.key),
+                                 event.value.has_value());
+        return;
       case ItemKind::kOther:
         return;
     }
--- a/src/kingcupdrift/forwarding/internal/engine_checker.cc
+++ b/src/kingcupdrift/forwarding/internal/engine_checker.cc
@@ -14,7 +14,7 @@
 
 void EngineChecker::ReportSuspect(const EngineAddress& engine) {
   if (!engines_in_check_.contains(engine.id) && !health_.IsDown(engine.id) &&
-      !health_.IsPaused(engine.id)) {
+      !health_.IsPaused(engine.id) && !directory_.IsEvacuated(engine.id)) {
     on_suspected_(engine);
     CheckSuspect(engine);
   }
@@ -22,6 +22,7 @@
 
 void EngineChecker::CheckSuspect(const EngineAddress& engine) {
   if (health_.IsDown(engine.id) || health_.IsPaused(engine.id) ||
+      directory_.IsEvacuated(engine.id) ||
       !engines_in_check_.insert(engine.id).second) {
     return;
   }
@@ -43,7 +44,8 @@
                                       int checks_left,
                                       MonotonicTime opened_at,
                                       const Result<void>& answer) {
-  if (!answer && checks_left > 1 && !health_.IsPaused(engine.id)) {
+  if (!answer && checks_left > 1 && !health_.IsPaused(engine.id) &&
+      !directory_.IsEvacuated(engine.id)) {
     Check(engine, checks_left - 1);
     return;
   }
--- a/src/kingcupdrift/forwarding/internal/engine_checker.h
+++ b/src/kingcupdrift/forwarding/internal/engine_checker.h
@@ -7,6 +7,7 @@
 
 #include "kingcupdrift/base/base.h"
 #include "kingcupdrift/forwarding/internal/engine_reachability.h"
+#include "kingcupdrift/forwarding/target_directory.h"
 #include "kingcupdrift/forwarding/target_health.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 #include "kingcupdrift/telemetry/telemetry.h"
@@ -26,11 +27,13 @@
                 TargetClient& targets,
                 TargetHealth& health,
                 EngineReachability& reachability,
+                const TargetDirectory& directory,
                 DecisionLog& log)
       : clock_(clock),
         targets_(targets),
         health_(health),
         reachability_(reachability),
+        directory_(directory),
         log_(log) {}
 
   using AnswerListener =
@@ -44,7 +47,7 @@
 
   /// Reports and checks an engine: an attempt at it failed, or another engine
   /// blames it. Does nothing while it is being checked, known to be down, or
-  /// paused at its own wish.
+  /// paused at its own wish, and while its failure domain is evacuated.
   void ReportSuspect(const EngineAddress& engine);
   /// Checks an engine that another entry (serving process) suspects. The
   /// suspicion alone has no other effect: the other entry may be the one that
@@ -69,6 +72,7 @@
   TargetClient& targets_;
   TargetHealth& health_;
   EngineReachability& reachability_;
+  const TargetDirectory& directory_;
   DecisionLog& log_;
   Listener on_suspected_ = [](const EngineAddress&) {};
   Listener on_down_ = [](const EngineAddress&) {};
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -44,7 +44,7 @@
         budget(clock, settings_in.budget),
         queue(clock),
         reachability(clock, random, targets, directory, log),
-        checker(clock, targets, health, reachability, log),
+        checker(clock, targets, health, reachability, directory, log),
         crash_monitor(clock, health, log) {}
 
   ForwarderSettings settings;
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -27,6 +27,8 @@
   add_gauge("kingcupdrift_targets_paused", context.health.CountPaused());
   add_gauge("kingcupdrift_targets_limited",
             context.rate_limiter.CountLimited());
+  add_gauge("kingcupdrift_failure_domains_evacuated",
+            context.directory.evacuated().size());
   const std::vector<WorkKey> quarantined =
       context.crash_monitor.ListQuarantined();
   const auto requests = static_cast<std::size_t>(
--- a/src/kingcupdrift/forwarding/state_decoder.h
+++ b/src/kingcupdrift/forwarding/state_decoder.h
@@ -9,7 +9,13 @@
 
 namespace kingcupdrift {
 
-enum class ItemKind { kConfig, kTarget, kOther };
+enum class ItemKind {
+  kConfig,
+  kTarget,
+  /// Present while operators evacuate a failure domain.
+  kEvacuation,
+  kOther,
+};
 
 /// Decodes the records of operators and targets in the platform's store.
 class StateDecoder {
@@ -19,6 +25,9 @@
   virtual ItemKind ClassifyKey(const std::string& key) const = 0;
   /// The target whose record has the key `key`, which is of kind kTarget.
   virtual EngineId ParseTargetId(const std::string& key) const = 0;
+  /// The failure domain that the key `key`, which is of kind kEvacuation,
+  /// evacuates. Empty if the key names none. The key's value has no meaning.
+  virtual FailureDomain ParseEvacuatedDomain(const std::string& key) const = 0;
   /// kInvalidArgument if the value is not a valid configuration.
   virtual Result<ServingConfig> DecodeConfig(
       const std::string& value) const = 0;
--- a/src/kingcupdrift/forwarding/target_directory.cc
+++ b/src/kingcupdrift/forwarding/target_directory.cc
@@ -100,6 +100,12 @@
   }
 }
 
+bool TargetDirectory::SetEvacuated(const FailureDomain& domain,
+                                   bool is_evacuated) {
+  return is_evacuated ? evacuated_.insert(domain).second
+                      : evacuated_.erase(domain) > 0;
+}
+
 std::vector<const TargetRecord*> TargetDirectory::ListUsable(
     const ServiceId& service) const {
   std::vector<const TargetRecord*> usable;
@@ -131,6 +137,11 @@
   return it != targets_.end() && IsUsable(it->second);
 }
 
+bool TargetDirectory::IsEvacuated(const EngineId& id) const {
+  const TargetRecord* const record = Find(id);
+  return record != nullptr && evacuated_.contains(record->failure_domain);
+}
+
 bool TargetDirectory::IsLeaving(const EngineAddress& address) const {
   const auto it = leaving_.find(address.id);
   return it != leaving_.end() && it->second.incarnation == address.incarnation;
@@ -141,7 +152,8 @@
   const bool is_removed =
       target.is_removal_scheduled && now >= target.removal_time;
   return !is_removed && !target.record.is_draining &&
-         now >= target.usable_from && !IsLeaving(target.record.address);
+         now >= target.usable_from && !IsLeaving(target.record.address) &&
+         !evacuated_.contains(target.record.failure_domain);
 }
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/forwarding/target_directory.h
+++ b/src/kingcupdrift/forwarding/target_directory.h
@@ -2,6 +2,7 @@
 #define KINGCUPDRIFT_FORWARDING_TARGET_DIRECTORY_H_
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "kingcupdrift/base/base.h"
@@ -21,8 +22,8 @@
 };
 
 /// The listed targets, and which of them may get requests. A target is usable
-/// unless it is leaving, its removal delay has passed, or only an older copy of
-/// the store lists it.
+/// unless it is leaving, its failure domain is evacuated, its removal delay has
+/// passed, or only an older copy of the store lists it.
 ///
 /// A target that was draining or announced its leaving stays unusable for good,
 /// whatever its record says later; a new process with its ID, that is, another
@@ -50,6 +51,13 @@
   /// store was out of reach. `Find` still returns it afterwards.
   void ScheduleRemoval(const EngineId& id);
 
+  /// Makes all targets of the failure domain, also those listed later, unusable
+  /// until it is taken back. False if nothing changes.
+  bool SetEvacuated(const FailureDomain& domain, bool is_evacuated);
+  const std::set<FailureDomain>& evacuated() const { return evacuated_; }
+  /// The target is listed in an evacuated failure domain.
+  bool IsEvacuated(const EngineId& id) const;
+
   /// Usable targets of `service`, ordered by identifier.
   std::vector<const TargetRecord*> ListUsable(const ServiceId& service) const;
   /// Usable targets of all services.
@@ -102,6 +110,7 @@
   std::map<EngineId, ListedTarget> targets_;
   std::map<EngineId, LeavingMark> leaving_;
   std::map<EngineId, RemovedTarget> removed_;
+  std::set<FailureDomain> evacuated_;
 };
 
 }  // namespace kingcupdrift
--- a/tests/forwarding/gateway_harness.cc
+++ b/tests/forwarding/gateway_harness.cc
@@ -22,6 +22,9 @@
   if (key == "config") {
     return ItemKind::kConfig;
   }
+  if (key.starts_with("evacuate/")) {
+    return ItemKind::kEvacuation;
+  }
   return key.starts_with("targets/") ? ItemKind::kTarget : ItemKind::kOther;
 }
 
@@ -29,6 +32,10 @@
   return EngineId(key.substr(key.find('/') + 1));
 }
 
+FailureDomain TextDecoder::ParseEvacuatedDomain(const std::string& key) const {
+  return FailureDomain(key.substr(key.find('/') + 1));
+}
+
 Result<ServingConfig> TextDecoder::DecodeConfig(
     const std::string& value) const {
   std::istringstream words(value);
@@ -49,11 +56,14 @@
   std::string state;
   std::int64_t incarnation = 0;
   std::string service = "plain";
-  words >> state >> incarnation >> service;
+  std::string domain;
+  words >> state >> incarnation >> service >> domain;
+
   TargetRecord record;
   record.address = {
       ParseTargetId(key), {"10.0.9.1", 80}, Incarnation(incarnation)};
   record.service = ServiceId(service.empty() ? "plain" : service);
+  record.failure_domain = FailureDomain(domain);
   record.slots = 100;
   record.is_draining = state == "draining";
   return record;
--- a/tests/forwarding/gateway_harness.h
+++ b/tests/forwarding/gateway_harness.h
@@ -14,11 +14,13 @@
 namespace kingcupdrift::fakes {
 
 /// Decodes "VERSION KEY..." as a configuration with these callers' keys, and
-/// "STATE INCARNATION [SERVICE]" as a target of "plain" or of that service.
+/// "STATE INCARNATION [SERVICE [DOMAIN]]" as a target of "plain" or of that
+/// service. Keys "evacuate/DOMAIN" evacuate the failure domain.
 class TextDecoder : public StateDecoder {
  public:
   ItemKind ClassifyKey(const std::string& key) const override;
   EngineId ParseTargetId(const std::string& key) const override;
+  FailureDomain ParseEvacuatedDomain(const std::string& key) const override;
   Result<ServingConfig> DecodeConfig(const std::string& value) const override;
   Result<TargetRecord> DecodeTarget(const std::string& key,
                                     const std::string& value) const override;
--- a/tests/platform/platform_state_decoder_test.cc
+++ b/tests/platform/platform_state_decoder_test.cc
@@ -132,6 +132,9 @@
   CHECK(kDecoder.ClassifyKey("op/config") == ItemKind::kConfig);
   CHECK(kDecoder.ClassifyKey("op/other") == ItemKind::kOther);
   CHECK(kDecoder.ClassifyKey("servers/i-1") == ItemKind::kTarget);
+  CHECK(kDecoder.ClassifyKey("op/evacuate/a") == ItemKind::kEvacuation);
+  CHECK(kDecoder.ClassifyKey("op/evacuated") == ItemKind::kOther);
+  CHECK(kDecoder.ParseEvacuatedDomain("op/evacuate/a") == FailureDomain("a"));
 }
 
 }  // namespace
