Place short prompts by the expected wait for a slot

Cause: in a burst of short prompts 77 of 100 went to engines believed to have one free slot, which other entries filled at the same time; and prefill parts that arrive within one iteration stalled streams together, since a backlog that passes with time did not count the parts that wait for the iteration's start. Change: the cost of an engine for a short prompt contains the expected wait for a slot, the last slot is left to prompts that have waited, and prefills that may not have begun count in full against the streams' accepted event gaps. The placement of short prompts is in a file of its own.

--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -144,6 +144,7 @@
   PromptPlacementRequest request;
   request.prompt = call_.prompt->prompt;
   request.output = call_.prompt->max_output;
+  request.expected_output = call_.prompt->expected_output;
   request.target_latency = route_->target_latency;
   request.max_event_gap = route_->max_event_gap;
   request.queue_time = context_.clock.Now() - arrival_;
--- a/src/kingcupdrift/routing/prompt_placer.cc
+++ b/src/kingcupdrift/routing/prompt_placer.cc
@@ -4,45 +4,17 @@
 #include <cmath>
 #include <numeric>
 
+#include "kingcupdrift/routing/internal/placement_candidate.h"
+
 namespace kingcupdrift {
 namespace {
 
-using Seconds = std::chrono::duration<double>;
-
-Duration Scale(Duration time, double factor) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
-}
-
 double Ratio(Duration a, Duration b) {
   return static_cast<double>(a.count()) / static_cast<double>(b.count());
 }
 
 }  // namespace
 
-/// An engine and the values that the placement of one prompt derives from it.
-struct PromptPlacer::Candidate {
-  std::size_t position = 0;
-  EngineLoad load;
-  /// Time of an iteration with the streams that run there, and with the new
-  /// stream added.
-  Duration iteration_time{0};
-  Duration iteration_time_with_request{0};
-  /// Longest prefill that keeps all streams there within the planned part of
-  /// their accepted event gap; absent without streams.
-  std::optional<Duration> max_prefill_time;
-  /// Planned memory that is neither occupied nor reserved.
-  TokenCount free_memory;
-  bool has_slot = false;
-  /// Some stream there accepts only a shorter event gap than the new one.
-  bool has_stricter_streams = false;
-  bool can_help = false;
-
-  bool ToleratesPrefill(Duration prefill_time) const {
-    return !max_prefill_time || prefill_time <= *max_prefill_time;
-  }
-};
-
 // Using an engine with stricter streams delays short prompts that would go
 // there. The penalty of 4 * kMinPartPrefillTime is the assumed cost: such an
 // engine takes part only if it saves more than that.
@@ -75,7 +47,8 @@
       it.has_stricter_streams = it.load.max_event_gap < request.max_event_gap;
       it.max_prefill_time =
           Scale(it.load.max_event_gap, kPlannedEventGapFraction) -
-          it.iteration_time - it.load.backlog;
+          it.iteration_time -
+          std::max(it.load.backlog, it.load.pending_prefill);
     }
     candidates.push_back(it);
   }
@@ -95,82 +68,6 @@
   return PlaceSplit(request, prefill_time, candidates);
 }
 
-// Short prompts share only as many engines as their streams need, so that the
-// others stay free for long prefills. The engines with the most streams are
-// chosen, so that those with few get no new ones and become free once fewer
-// engines are needed.
-std::vector<bool> PromptPlacer::ChooseShared(
-    const PromptPlacementRequest& request,
-    const std::vector<Candidate>& candidates) const {
-  const auto runs_short_prompts = [&request](const Candidate& it) {
-    return it.load.streams > 0 &&
-           it.load.max_event_gap <= request.max_event_gap;
-  };
-  std::vector<const Candidate*> by_streams;
-  int streams = 0;
-  for (const Candidate& it : candidates) {
-    if (runs_short_prompts(it)) {
-      by_streams.push_back(&it);
-      streams += it.load.streams;
-    }
-  }
-  std::stable_sort(by_streams.begin(), by_streams.end(),
-                   [](const Candidate* a, const Candidate* b) {
-                     return a->load.streams > b->load.streams;
-                   });
-  const double per_engine = kSharedEngineFillFraction * timing_.slots;
-  const auto shared_count = static_cast<std::size_t>(
-      std::ceil(static_cast<double>(streams + 1) / per_engine));
-  by_streams.resize(std::min(by_streams.size(), shared_count));
-  std::vector<bool> is_shared(candidates.size(), false);
-  for (const Candidate* it : by_streams) {
-    is_shared[it->position] = true;
-  }
-  return is_shared;
-}
-
-std::optional<PromptPlacement> PromptPlacer::PlaceWhole(
-    const PromptPlacementRequest& request,
-    Duration prefill_time,
-    const std::vector<Candidate>& candidates) const {
-  const TokenCount needed_memory = request.prompt + request.output;
-  const bool is_urgent = request.queue_time > request.target_latency / 2;
-  const Duration planned_latency =
-      Scale(request.target_latency, kPlannedLatencyFraction);
-  const std::vector<bool> is_shared = ChooseShared(request, candidates);
-  SeededRandom random(request.seed);
-  std::optional<PromptPlacement> best;
-  Duration best_cost{0};
-  for (const Candidate& it : candidates) {
-    const Duration jitter = Scale(kMaxCostJitter, random.NextDouble());
-    if (!it.has_slot || it.free_memory < needed_memory ||
-        (!is_urgent && !it.ToleratesPrefill(prefill_time))) {
-      continue;
-    }
-    PromptPlacement placement;
-    placement.engine = it.position;
-    placement.part_prefill_time = prefill_time;
-    placement.time_to_first_event = it.iteration_time / 2 + it.load.backlog +
-                                    prefill_time +
-                                    it.iteration_time_with_request;
-    // Other engines are chosen only if no shared one can answer within the
-    // planned latency; among them, those that already run a stream of a short
-    // prompt come first.
-    Duration cost = placement.time_to_first_event + jitter;
-    if (!is_shared[it.position]) {
-      const bool runs_short_prompt =
-          it.load.streams > 0 && it.load.max_event_gap <= request.max_event_gap;
-      cost = std::max(cost, planned_latency) +
-             (runs_short_prompt ? kMaxCostJitter : 2 * kMaxCostJitter);
-    }
-    if (!best || cost < best_cost) {
-      best = placement;
-      best_cost = cost;
-    }
-  }
-  return best;
-}
-
 Duration PromptPlacer::ComputeBacklogLimit(
     const PromptPlacementRequest& request,
     Duration prefill_time) const {
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -26,6 +26,8 @@
   Duration queue_time{0};
   /// Seed of the random cost that separates engines of nearly equal cost.
   std::uint64_t seed = 0;
+  /// Tokens that the answer is expected to have.
+  TokenCount expected_output = TokenCount();
 };
 
 /// An engine and its load.
--- a/src/kingcupdrift/routing/work_tracker.cc
+++ b/src/kingcupdrift/routing/work_tracker.cc
@@ -171,6 +171,13 @@
       load.max_event_gap = note.max_event_gap;
     }
   }
+  for (const AttemptId& attempt : it->second.attempts) {
+    const Work& work = work_items_.at(attempt);
+    if (work.note.phase == WorkPhase::kPrefilling &&
+        clock_.Now() - work.started_at < load.max_event_gap) {
+      load.pending_prefill += work.note.part_prefill_time;
+    }
+  }
   return load;
 }
 
--- a/src/kingcupdrift/routing/work_tracker.h
+++ b/src/kingcupdrift/routing/work_tracker.h
@@ -15,6 +15,10 @@
 struct EngineLoad {
   /// Time until all prefills there are done.
   Duration backlog{0};
+  /// Prefills that started at most one `max_event_gap` ago and may not have
+  /// begun: the engine takes them up together in its next iteration, which
+  /// stalls its streams for the sum. Zero without streams.
+  Duration pending_prefill{0};
   /// Streams in decode, or that will decode there after their prefill.
   int streams = 0;
   /// Prompts that the engine prefills in part, as a prefill helper, for other
--- a/tests/routing/work_tracker_test.cc
+++ b/tests/routing/work_tracker_test.cc
@@ -55,6 +55,34 @@
   CHECK(tracker.GetEngineLoad(kHelper).partial_prefills == 1);
 }
 
+// Guards against stalls by parts that look done but wait for the engine's next
+// iteration, in which they are prefilled together.
+TEST_CASE("prefills count as pending until an iteration has taken them up") {
+  ManualClock clock;
+  WorkTracker tracker(clock);
+  WorkNote stream = MakeNote("stream");
+  stream.helpers.clear();
+  stream.phase = WorkPhase::kDecoding;
+  tracker.Apply(kEntry, stream);
+  tracker.Apply(kEntry, MakeNote("a"));
+  clock.Advance(milliseconds(100));
+  tracker.Apply(kEntry, MakeNote("b"));
+  const EngineLoad load = tracker.GetEngineLoad(kDecodeEngine);
+  CHECK(load.backlog == milliseconds(40));
+  CHECK(load.pending_prefill == milliseconds(80));
+  // Without streams nothing stalls.
+  CHECK(tracker.GetEngineLoad(kHelper).pending_prefill == Duration::zero());
+  clock.Advance(milliseconds(150));
+  CHECK(tracker.GetEngineLoad(kDecodeEngine).pending_prefill ==
+        milliseconds(40));
+  WorkNote decoding;
+  decoding.attempt = AttemptId("b");
+  decoding.phase = WorkPhase::kDecoding;
+  tracker.Apply(kEntry, decoding);
+  CHECK(tracker.GetEngineLoad(kDecodeEngine).pending_prefill ==
+        Duration::zero());
+}
+
 TEST_CASE("ended work leaves no load behind") {
   ManualClock clock;
   WorkTracker tracker(clock);
