Limit the requests of all entries to cold engines

Cause: an engine that has just started crashes well above the rate that its service states (14 a second), and a failure domain that returns attracts the whole load. Change: TargetRateLimiter also limits cold engines, with a quota within a window that is divided among the senders by rendezvous rank. ColdTargetTracker tells which engines are cold. Requests declined with 421 do not count; entries that are no sender wait for the end of the cold time. Gauge kingcupdrift_targets_cold, log line "cold". Without the configured figures nothing changes, and limits that engines name work as before.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -44,6 +44,8 @@
         .Number("routes", static_cast<std::int64_t>(config.routes.size()))
         .Number("keys",
                 static_cast<std::int64_t>(config.workspace_of_key.size()));
+    context_.rate_limiter.SetColdLimits(
+        MakeColdLimits(config, context_.settings.cold_bound));
     context_.table = std::make_shared<const RouteTable>(std::move(config));
   }
 
@@ -58,6 +60,7 @@
         .Text("state", record.is_draining ? "leaving" : "ready");
     ForgetEarlierProcess(record);
     context_.directory.Update(record);
+    UpdateColdState(record, false);
     // Targets write their own records, so a new one shows that the target runs.
     context_.health.OnSuccess(record.address.id);
     context_.queue.Wake();
@@ -66,6 +69,7 @@
   void RestoreTarget(const TargetRecord& record) override {
     ForgetEarlierProcess(record);
     context_.directory.Restore(record);
+    UpdateColdState(record, true);
     context_.log.Add("forward", "target")
         .Text("target", record.address.id.value())
         .Text("service", record.service.value())
@@ -104,6 +108,10 @@
         limit_listener_(limit);
       }
     }
+    if (notice.cold_left &&
+        context_.rate_limiter.UpdateColdTime(engine, *notice.cold_left)) {
+      LogCold(engine.id, "engine");
+    }
     if (notice.pause > Duration::zero() && IsListed(engine)) {
       context_.health.Pause(engine.id, notice.pause);
       ++context_.pauses;
@@ -138,11 +146,16 @@
         .Text("state", is_confirmed ? "gone" : "lapsed");
     if (is_confirmed) {
       context_.directory.Remove(id);
+      context_.rate_limiter.RemoveTarget(id);
     } else {
       context_.directory.ScheduleRemoval(id);
     }
   }
 
+  void SetTargetListComplete() override {
+    context_.rate_limiter.SetTargetListComplete();
+  }
+
   void SetStopDeadline(MonotonicTime end) override {
     context_.stop = {context_.clock.Now() + kStopNoticePeriod, end};
   }
@@ -260,6 +273,19 @@
         .Text("source", source);
   }
 
+  void UpdateColdState(const TargetRecord& record, bool is_restored) {
+    if (context_.rate_limiter.UpdateTarget(record, is_restored)) {
+      LogCold(record.address.id, record.cold_left ? "record" : "start");
+    }
+  }
+
+  void LogCold(const EngineId& engine, std::string_view source) {
+    context_.log.Add("forward", "cold")
+        .Text("target", engine.value())
+        .Milliseconds("left", context_.rate_limiter.GetColdLeft(engine))
+        .Text("source", source);
+  }
+
   void LogLeaving(const LeavingEngine& engine, std::string_view source) {
     context_.log.Add("forward", "leaving")
         .Text("target", engine.engine.value())
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -4,10 +4,12 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "kingcupdrift/base/base.h"
+#include "kingcupdrift/forwarding/cold_limit.h"
 #include "kingcupdrift/forwarding/relay_peer.h"
 #include "kingcupdrift/forwarding/retry_budget_share.h"
 #include "kingcupdrift/forwarding/route_table.h"
@@ -22,6 +24,8 @@
   InstanceId instance;
   FailureDomain failure_domain;
   RetryBudgetSettings budget;
+  /// Absent: the rate of requests to cold engines is not limited.
+  std::optional<ColdBound> cold_bound = std::nullopt;
 };
 
 /// All of them outlive the forwarder.
@@ -65,6 +69,10 @@
   /// `TargetDirectory::kRemovalDelay`.
   virtual void RemoveTarget(const EngineId& id, bool is_confirmed) = 0;
 
+  /// The list of targets is complete. Targets first listed after the first call
+  /// have just started, see `ColdTargetTracker`.
+  virtual void SetTargetListComplete() = 0;
+
   /// Announces that the entry stops at `end`. After `kStopNoticePeriod`,
   /// requests whose time limit ends after `end` are refused. Nothing happens at
   /// `end` by itself.
--- a/src/kingcupdrift/forwarding/forwarding.h
+++ b/src/kingcupdrift/forwarding/forwarding.h
@@ -6,6 +6,8 @@
 /// their bodies, with routes, limits, retries and placement. Nothing here
 /// performs I/O.
 
+#include "kingcupdrift/forwarding/cold_limit.h"           // IWYU pragma: export
+#include "kingcupdrift/forwarding/cold_target_tracker.h"  // IWYU pragma: export
 #include "kingcupdrift/forwarding/forwarder.h"            // IWYU pragma: export
 #include "kingcupdrift/forwarding/gateway.h"              // IWYU pragma: export
 #include "kingcupdrift/forwarding/peer_state_exchange.h"  // IWYU pragma: export
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -23,7 +23,8 @@
 constexpr std::size_t kMaxPassedOnBytes = 500'000;
 
 ForwarderSettings ForwarderSettingsOf(const GatewaySettings& settings) {
-  return {settings.own.id, settings.own.failure_domain, settings.budget};
+  return {settings.own.id, settings.own.failure_domain, settings.budget,
+          settings.cold_bound};
 }
 
 class GatewayImpl : public Gateway, public PeerStateObserver {
@@ -214,6 +215,7 @@
   void OnPeersChecked(const std::vector<ReaderCandidate>& recent,
                       bool is_serving) override {
     UpdateRequestRate();
+    UpdateListState();
     forwarder_->SetEntryCount(peer_exchange_.CountLimitShares());
     forwarder_->SetSendingEntries(peer_exchange_.ListSendingEntries());
     forwarder_->SetRelayPeers(peer_exchange_.ListRelayPeers());
@@ -253,7 +255,15 @@
     rate_updated_at_ = now;
   }
 
+  // The events of the first listing come before the copy counts as complete.
+  void UpdateListState() {
+    if (mirror_.IsComplete()) {
+      forwarder_->SetTargetListComplete();
+    }
+  }
+
   void HandleStoreEvent(const MirrorEvent& event) {
+    UpdateListState();
     if (election_.is_first_reader()) {
       peer_exchange_.BroadcastStoreChanges();
     }
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   /// Record of this entry.
   EntryRecord own;
   RetryBudgetSettings budget;
+  /// As in `ForwarderSettings`.
+  std::optional<ColdBound> cold_bound = std::nullopt;
 };
 
 /// All of them outlive the gateway.
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -207,6 +207,8 @@
   bool may_have_run_ = false;
   bool has_begun_ = false;
   bool is_done_ = false;
+  // When the rate limiter counted the request to the last plan's target.
+  MonotonicTime counted_at_{};
   // Time of sending of the present or last attempt.
   MonotonicTime attempt_sent_at_{};
   // Start of the present or last attempt's stream; absent before its first
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kStatusBadRequest = 400;
+constexpr int kStatusMisdirected = 421;
 constexpr int kStatusServerError = 500;
 
 /// Statuses with which entries state that a request has not run.
@@ -138,6 +139,9 @@
       .Text("at_fault", faulty_engine.value())
       .Number("status", result.response.status);
   ReportConnected();
+  if (!plan_.is_relay && result.response.status == kStatusMisdirected) {
+    context_.rate_limiter.ReturnRequest(target, counted_at_);
+  }
   excluded_targets_.insert(faulty_engine);
   if (!plan_.is_relay) {
     context_.health.OnFailure(faulty_engine);
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -72,7 +72,7 @@
   is_waiting_ = false;
   plan_ = plan;
   RegisterWork();
-  context_.rate_limiter.CountRequest(plan_.target.id);
+  counted_at_ = context_.rate_limiter.CountRequest(plan_.target.id);
   for (const PrefillHelper& it : plan_.helpers) {
     context_.rate_limiter.CountRequest(it.engine.id);
   }
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -27,6 +27,7 @@
   add_gauge("kingcupdrift_targets_paused", context.health.CountPaused());
   add_gauge("kingcupdrift_targets_limited",
             context.rate_limiter.CountLimited());
+  add_gauge("kingcupdrift_targets_cold", context.rate_limiter.CountCold());
   const std::vector<WorkKey> quarantined =
       context.crash_monitor.ListQuarantined();
   const auto requests = static_cast<std::size_t>(
--- a/src/kingcupdrift/forwarding/serving_config.h
+++ b/src/kingcupdrift/forwarding/serving_config.h
@@ -68,6 +68,11 @@
   /// Timing model of the service's engines. Present for model engines: prompts
   /// are then placed by predicted times.
   std::optional<EngineTiming> engine;
+  /// Time for which an engine is cold after its start.
+  Duration cold_time{0};
+  /// Requests a second that a cold engine takes from all callers together. No
+  /// limit if this or `cold_time` is not above zero.
+  double cold_requests_per_second = 0;
 };
 
 /// Limits on what callers send.
--- a/src/kingcupdrift/forwarding/target_directory.h
+++ b/src/kingcupdrift/forwarding/target_directory.h
@@ -2,6 +2,7 @@
 #define KINGCUPDRIFT_FORWARDING_TARGET_DIRECTORY_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "kingcupdrift/base/base.h"
@@ -18,6 +19,9 @@
   int slots = 1;
   /// The target takes no new requests.
   bool is_draining = false;
+  /// How much longer the target stays cold; zero if it is not cold, absent if
+  /// the record does not tell.
+  std::optional<Duration> cold_left = std::nullopt;
 };
 
 /// The listed targets, and which of them may get requests. A target is usable
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -66,6 +66,9 @@
   /// Requests a second that the engine takes from all callers together; absent
   /// without a limit.
   std::optional<double> requests_per_second = std::nullopt;
+  /// How much longer the engine stays cold; zero if it is not cold, absent if
+  /// the answer does not tell.
+  std::optional<Duration> cold_left = std::nullopt;
 };
 
 /// Receives the notices of engines.
--- a/tests/forwarding/gateway_harness.cc
+++ b/tests/forwarding/gateway_harness.cc
@@ -38,6 +38,13 @@
   config.version = Generation(version);
   config.workspace_of_key.clear();
   for (std::string key; words >> key;) {
+    if (key == "cold") {
+      for (auto& [id, service] : config.services) {
+        service.cold_time = seconds(3);
+        service.cold_requests_per_second = 14;
+      }
+      continue;
+    }
     config.workspace_of_key[key] = WorkspaceId("workspace");
   }
   return config;
@@ -79,7 +86,8 @@
             endpoint,
             {endpoint.host, kCallerPort},
             FailureDomain(number % 2 == 0 ? "a" : "b")},
-           {0.2, 100}},
+           {0.2, 100},
+           ColdBound{1.5, 5}},
           {clock, random, store, link, targets, decoder, log})) {}
 
 std::string GatewayNode::Metric(const std::string& name) const {
--- a/tests/forwarding/gateway_harness.h
+++ b/tests/forwarding/gateway_harness.h
@@ -14,6 +14,7 @@
 namespace kingcupdrift::fakes {
 
 /// Decodes "VERSION KEY..." as a configuration with these callers' keys, and
+/// with a limit of cold engines if "cold" is one of the words, and
 /// "STATE INCARNATION [SERVICE]" as a target of "plain" or of that service.
 class TextDecoder : public StateDecoder {
  public:
