--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -39,6 +39,21 @@
   CHECK(settings->stop_limit == std::chrono::seconds(8));
   CHECK(settings->max_extra_retries == 104);
   CHECK(settings->cores == 0.5);
+  CHECK_FALSE(settings->cold_bound);
+}
+
+TEST_CASE("the bound for cold engines is optional, and no reason to fail") {
+  json document = Document();
+  document["bounds"]["cold_overshoot"] = 1.5;
+  document["bounds"]["cold_slack"] = 5;
+  const Result<Settings> settings = ParseSettings(document.dump());
+  REQUIRE(settings);
+  REQUIRE(settings->cold_bound);
+  CHECK(settings->cold_bound->slack == 5);
+  document["bounds"]["cold_slack"] = "five";
+  const Result<Settings> wrong = ParseSettings(document.dump());
+  REQUIRE(wrong);
+  CHECK_FALSE(wrong->cold_bound);
 }
 
 TEST_CASE("a missing or malformed field is an error that names it") {
