--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -29,6 +29,7 @@
             context.rate_limiter.CountLimited());
   add_gauge("kingcupdrift_failure_domains_evacuated",
             context.directory.evacuated().size());
+  add_gauge("kingcupdrift_targets_cold", context.rate_limiter.CountCold());
   const std::vector<WorkKey> quarantined =
       context.crash_monitor.ListQuarantined();
   const auto requests = static_cast<std::size_t>(
