Record the progress of engines in the work tracker

Cause: whether an engine still serves prompts could not be told from the outside, so that a loaded engine and one that hangs looked the same. Change: the work tracker keeps the time of an engine's last sign of progress: events of this entry's streams, and the first event of any entry's prompt. A repeated work note is no progress.

--- a/src/kingcupdrift/routing/work_tracker.cc
+++ b/src/kingcupdrift/routing/work_tracker.cc
@@ -1,6 +1,7 @@
 #include "kingcupdrift/routing/work_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcupdrift {
 namespace {
@@ -64,8 +65,13 @@
 }
 
 void WorkTracker::FinishPrefill(Work& work) {
-  work.note.phase = WorkPhase::kDecoding;
+  // Entries repeat their notes; a repeated one shows no new first event.
+  const bool is_new = std::exchange(work.note.phase, WorkPhase::kDecoding) !=
+                      WorkPhase::kDecoding;
   for (const EngineId& id : ListEngines(work.note)) {
+    if (is_new) {
+      RecordProgress(id);
+    }
     ShortenBacklog(id);
   }
 }
@@ -149,6 +155,18 @@
   }
 }
 
+void WorkTracker::RecordProgress(const EngineId& engine) {
+  if (const auto it = engines_.find(engine); it != engines_.end()) {
+    it->second.last_progress = clock_.Now();
+  }
+}
+
+std::optional<MonotonicTime> WorkTracker::GetLastProgress(
+    const EngineId& engine) const {
+  const auto it = engines_.find(engine);
+  return it == engines_.end() ? std::nullopt : it->second.last_progress;
+}
+
 EngineLoad WorkTracker::GetEngineLoad(const EngineId& id) const {
   EngineLoad load;
   const auto it = engines_.find(id);
--- a/src/kingcupdrift/routing/work_tracker.h
+++ b/src/kingcupdrift/routing/work_tracker.h
@@ -2,6 +2,7 @@
 #define KINGCUPDRIFT_ROUTING_WORK_TRACKER_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -48,6 +49,14 @@
 
   EngineLoad GetEngineLoad(const EngineId& engine) const;
 
+  /// A stream of this entry brought events from `engine`. Ignored without work
+  /// there.
+  void RecordProgress(const EngineId& engine);
+  /// Time of the engine's last sign of progress: `RecordProgress`, or the first
+  /// event of a prompt of any entry that it prefilled, whole or in part. Absent
+  /// if there was none.
+  std::optional<MonotonicTime> GetLastProgress(const EngineId& engine) const;
+
   /// Upper limit of the time that a request lasts. Older work is taken as
   /// ended, with the note of its end lost, and is dropped when other work
   /// starts.
@@ -62,6 +71,7 @@
   struct Engine {
     /// Time when all prefills there will be done.
     MonotonicTime prefill_done_at{};
+    std::optional<MonotonicTime> last_progress;
     std::set<AttemptId> attempts;
   };
 
