Give up attempts whose first event is overdue while there is time

Cause: a prompt of 260,000 tokens was sent at 3.5 s with a deadline at 15 s, and got no event until its engine's connection ended at 16.96 s. The answer timeout of prompts took no account of the time left, nor of the engine's progress, and gave up loaded engines. Change: a pure decision replaces the answer timeout of prompts that are placed by timing. A silent engine is left after about twice the prediction, one that progresses only if it lost the request. The attempt goes on unless another placement is likely to be in time and the allowance, 0.4 of the entry's share of the retry budget, has a retry. Log line 'overdue', counter kingcupdrift_attempts_overdue_total. Result: on the paused clock, the case above is sent again 4.5 s after the first send, with 6.9 s left. 800 overdue prompts at once give up 112 to 116 attempts at 1, 6, 33, 82 and 195 entries, of a budget of 280. 20 mutations of the guards were tried: 17 failed a test, two led to a further check that they fail now, and one showed a constant without effect, which was removed. No run with processes or under load was made.

--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -14,6 +14,7 @@
 #include "kingcupdrift/forwarding/internal/crash_monitor.h"
 #include "kingcupdrift/forwarding/internal/engine_checker.h"
 #include "kingcupdrift/forwarding/internal/engine_reachability.h"
+#include "kingcupdrift/forwarding/internal/overdue_allowance.h"
 #include "kingcupdrift/forwarding/internal/wait_queue.h"
 #include "kingcupdrift/forwarding/target_health.h"
 #include "kingcupdrift/forwarding/target_rate_limiter.h"
@@ -42,6 +43,7 @@
         rate_limiter(clock, settings_in.instance),
         work_tracker(clock),
         budget(clock, settings_in.budget),
+        overdue_allowance(clock, random, budget),
         queue(clock),
         reachability(clock, random, targets, directory, log),
         checker(clock, targets, health, reachability, log),
@@ -59,6 +61,7 @@
   TargetRateLimiter rate_limiter;
   WorkTracker work_tracker;
   RetryBudgetShare budget;
+  OverdueAllowance overdue_allowance;
   WaitQueue queue;
   EngineReachability reachability;
   EngineChecker checker;
@@ -77,6 +80,8 @@
   // Attempts that may have run and brought no whole answer, for metrics.
   std::uint64_t interrupted_before_first_event = 0;
   std::uint64_t interrupted_streams = 0;
+  // Attempts given up since their first event was overdue, for metrics.
+  std::uint64_t overdue_attempts = 0;
   // Times that an engine asked for a pause, for metrics.
   std::uint64_t pauses = 0;
   // Checks that found an engine down, for metrics.
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -94,6 +94,7 @@
   }
   may_have_run_ = true;
   attempt_begun_at_ = context_.clock.Now();
+  overdue_timer_.reset();
   // A resumed stream keeps the response head of its first engine.
   if (!has_begun_) {
     has_begun_ = true;
@@ -108,6 +109,9 @@
     longest_event_gap_ = std::max(longest_event_gap_, now - *last_event_at_);
   }
   last_event_at_ = now;
+  if (is_work_registered_) {
+    context_.work_tracker.RecordProgress(plan_.target.id);
+  }
   if (attempt_begun_at_ &&
       now - *attempt_begun_at_ >= CrashMonitor::kProvingTime) {
     ReportAnswered();
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -11,6 +11,7 @@
 
 #include "kingcupdrift/forwarding/internal/forward_attempt.h"
 #include "kingcupdrift/forwarding/internal/forward_context.h"
+#include "kingcupdrift/forwarding/internal/overdue_attempt.h"
 #include "kingcupdrift/forwarding/internal/reservation_set.h"
 
 namespace kingcupdrift {
@@ -53,8 +54,9 @@
   /// time. More than this fail only if the entries' view of the engines' memory
   /// is wrong.
   static constexpr int kMaxFailedReservations = 6;
-  /// Timeout for an answer before a retry, in target latencies; for a stream,
-  /// in predicted times to first event (see `ChooseTimeouts`).
+  /// Timeout for an answer before a retry, in target latencies; for a stream of
+  /// a service without engine timing, in predicted times to first event.
+  /// Prompts that are placed by timing follow `CheckOverdue` instead.
   static constexpr int kAnswerTimeoutFactor = 3;
   /// Advice to callers whose request has not run: some of the present work is
   /// done then.
@@ -132,6 +134,23 @@
   /// No timeouts unless a retry is possible afterwards.
   AttemptTimeouts ChooseTimeouts(const SendPlan& plan) const;
 
+  /// Starts to watch the first event of the present attempt, if a second one
+  /// may follow.
+  void StartOverdueTimer(Duration delay);
+  void CheckOverdue();
+  AttemptState DescribeAttempt() const;
+  /// Time for which the engine has shown nothing; at most the time since the
+  /// attempt was sent.
+  Duration GetQuietTime(const EngineAddress& engine) const;
+  std::vector<EngineAddress> ListSilentEngines() const;
+  /// Engines to leave out of a second attempt that is likely to bring its first
+  /// event in time; absent if there is no such attempt.
+  std::optional<std::set<EngineId>> ChooseEnginesToLeave();
+  /// Predicted time to the first event of an attempt without these engines.
+  std::optional<Duration> PredictWithout(const std::set<EngineId>& engines);
+  void GiveUpOverdueAttempt(const std::set<EngineId>& left_engines);
+  void LogOverdue(std::string_view outcome);
+
   /// The shared parts of the prompt for logs, separated by commas.
   std::string JoinSharedParts() const;
   void RegisterWork();
@@ -212,6 +231,11 @@
   // Start of the present or last attempt's stream; absent before its first
   // event.
   std::optional<MonotonicTime> attempt_begun_at_;
+  std::unique_ptr<Timer> overdue_timer_;
+  // Time for which `overdue_timer_` was last set.
+  MonotonicTime overdue_check_at_{};
+  // The log names the present attempt as overdue, but not given up.
+  bool is_overdue_logged_ = false;
   // `ReportAnswered` was called for the present or last attempt.
   bool is_attempt_proven_ = false;
   Duration time_to_first_event_{0};
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -62,9 +62,11 @@
   }
   timeouts.stall_timeout =
       std::max(kStallTimeoutFactor * route_->max_event_gap, kMinStallTimeout);
-  timeouts.answer_timeout =
-      kAnswerTimeoutFactor * plan.predicted_time_to_first_event +
-      std::max(route_->target_latency, kMinStallTimeout);
+  if (FindEngineTiming() == nullptr) {
+    timeouts.answer_timeout =
+        kAnswerTimeoutFactor * plan.predicted_time_to_first_event +
+        std::max(route_->target_latency, kMinStallTimeout);
+  }
   return timeouts;
 }
 
@@ -168,6 +170,9 @@
   attempt_ = std::make_unique<ForwardAttempt>(
       context_.clock, context_.targets, plan.target, request,
       framer_ ? &*framer_ : nullptr, timeouts, *this);
+  is_overdue_logged_ = false;
+  StartOverdueTimer(kPredictionError * plan.predicted_time_to_first_event +
+                    kMinOverdueMargin);
 }
 
 std::string ForwardRequest::JoinSharedParts() const {
@@ -215,6 +220,7 @@
 }
 
 void ForwardRequest::EndAttempt() {
+  overdue_timer_.reset();
   if (attempt_) {
     attempt_->Cancel();
     ended_attempts_.push_back(std::move(attempt_));
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -49,6 +49,7 @@
               context.interrupted_before_first_event);
   add_counter("kingcupdrift_attempts_interrupted_in_stream_total",
               context.interrupted_streams);
+  add_counter("kingcupdrift_attempts_overdue_total", context.overdue_attempts);
   return out;
 }
 
--- a/src/kingcupdrift/forwarding/retry_budget_share.cc
+++ b/src/kingcupdrift/forwarding/retry_budget_share.cc
@@ -10,16 +10,22 @@
   requests.push_back(clock_.Now());
 }
 
-bool RetryBudgetShare::TryTake(const ServiceId& service, std::size_t entries) {
+double RetryBudgetShare::GetLimit(const ServiceId& service,
+                                  std::size_t entries) {
   ServiceUsage& usage = usage_by_service_[service];
   Expire(usage.requests);
-  Expire(usage.sends);
   const double extra_share =
       static_cast<double>(settings_.extra) /
       static_cast<double>(std::max<std::size_t>(entries, 1));
   const double from_requests =
       settings_.ratio * static_cast<double>(usage.requests.size());
-  const double limit = kUsableShare * (extra_share + from_requests);
+  return kUsableShare * (extra_share + from_requests);
+}
+
+bool RetryBudgetShare::TryTake(const ServiceId& service, std::size_t entries) {
+  const double limit = GetLimit(service, entries);
+  ServiceUsage& usage = usage_by_service_[service];
+  Expire(usage.sends);
   if (static_cast<double>(usage.sends.size()) + 1 > limit) {
     return false;
   }
--- a/src/kingcupdrift/forwarding/retry_budget_share.h
+++ b/src/kingcupdrift/forwarding/retry_budget_share.h
@@ -32,6 +32,9 @@
   /// Takes one retry from the share; false if the share is used up. `entries`
   /// is the number of entries that share the budget.
   bool TryTake(const ServiceId& service, std::size_t entries);
+  /// Retries of a window that this entry may make, those made included.
+  double GetLimit(const ServiceId& service, std::size_t entries);
+  const RetryBudgetSettings& settings() const { return settings_; }
 
   /// An entry uses at most this part of its share. While an entry has just
   /// joined or died, entries count different numbers of entries, and their
