Decode priorities and pass them to engines

Cause: routes and workspaces of the configuration have priorities, which forwarding did not read, so engines admitted all prompts alike. Change: `priority` of routes and of tenants is decoded, clamped to 0 to 9 and ignored with a warning if it is no number. The workspace's priority replaces the route's. Engines get it as Request-Priority with model prompts, only if requests of the configuration can have different priorities. A caller's own header was and is removed.

--- a/src/kingcupdrift/forwarding/forwarding.h
+++ b/src/kingcupdrift/forwarding/forwarding.h
@@ -9,6 +9,7 @@
 #include "kingcupdrift/forwarding/forwarder.h"            // IWYU pragma: export
 #include "kingcupdrift/forwarding/gateway.h"              // IWYU pragma: export
 #include "kingcupdrift/forwarding/peer_state_exchange.h"  // IWYU pragma: export
+#include "kingcupdrift/forwarding/request_priority.h"     // IWYU pragma: export
 #include "kingcupdrift/forwarding/retry_budget_share.h"   // IWYU pragma: export
 #include "kingcupdrift/forwarding/route_table.h"          // IWYU pragma: export
 #include "kingcupdrift/forwarding/serving_config.h"       // IWYU pragma: export
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "kingcupdrift/forwarding/request_priority.h"
+
 namespace kingcupdrift {
 namespace {
 
@@ -136,6 +138,9 @@
   TargetRequest request;
   request.call = &call_;
   request.workspace = workspace_;
+  if (call_.prompt && table_->has_differing_priorities()) {
+    request.priority = FindPriority(table_->config(), *route_, workspace_);
+  }
   request.time_left = TimeLeft();
   request.last_event_id = framer_ ? framer_->last_event_id() : std::nullopt;
   request.helpers = plan.helpers;
@@ -164,6 +169,7 @@
       .Number("helping", plan.expected_load.partial_prefills)
       .Milliseconds("backlog", plan.expected_load.backlog)
       .Milliseconds("left", request.time_left)
+      .Number("priority", request.priority.value_or(kDefaultPriority))
       .Number("config", table_->config().version.value());
   attempt_ = std::make_unique<ForwardAttempt>(
       context_.clock, context_.targets, plan.target, request,
--- a/src/kingcupdrift/forwarding/route_table.cc
+++ b/src/kingcupdrift/forwarding/route_table.cc
@@ -3,9 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "kingcupdrift/forwarding/request_priority.h"
+
 namespace kingcupdrift {
 
-RouteTable::RouteTable(ServingConfig config) : config_(std::move(config)) {
+RouteTable::RouteTable(ServingConfig config)
+    : config_(std::move(config)),
+      has_differing_priorities_(HasDifferingPriorities(config_)) {
   for (std::size_t i = 0; i < config_.routes.size(); ++i) {
     const RouteRule& route = config_.routes[i];
     by_host_[route.host][route.prefix] = i;
--- a/src/kingcupdrift/forwarding/route_table.h
+++ b/src/kingcupdrift/forwarding/route_table.h
@@ -17,6 +17,8 @@
   explicit RouteTable(ServingConfig config);
 
   const ServingConfig& config() const { return config_; }
+  /// Requests can have different priorities; see `HasDifferingPriorities`.
+  bool has_differing_priorities() const { return has_differing_priorities_; }
 
   /// The route of `host` with the longest prefix of the path in
   /// `path_and_query`. Prefixes match whole segments and end with a slash: the
@@ -30,6 +32,7 @@
 
  private:
   ServingConfig config_;
+  bool has_differing_priorities_ = false;
   // Host to prefix to position in `config_.routes`.
   std::map<std::string, std::map<std::string, std::size_t, std::less<>>>
       by_host_;
--- a/src/kingcupdrift/forwarding/serving_config.h
+++ b/src/kingcupdrift/forwarding/serving_config.h
@@ -57,6 +57,9 @@
   /// Most attempts of one request. Attempts that certainly didn't run don't
   /// count.
   int max_attempts = 1;
+  /// Priority of the requests, from 0, the most urgent, to 9; absent if none is
+  /// set.
+  std::optional<int> priority;
   /// Callers need no valid key, even if `needs_key` is set. A request without a
   /// valid key belongs to no workspace.
   bool allows_anonymous = false;
@@ -94,6 +97,8 @@
   /// Callers need a valid key, except on routes with `allows_anonymous`.
   bool needs_key = false;
   std::map<std::string, WorkspaceId> workspace_of_key;
+  /// Priorities of workspaces that have one, which replace those of routes.
+  std::map<WorkspaceId, int> workspace_priorities;
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -32,6 +32,9 @@
   /// The target continues after this event; absent: from the start.
   std::optional<std::uint64_t> last_event_id;
   std::vector<PrefillHelper> helpers;
+  /// Priority of a prompt, from 0, the most urgent, to 9; absent without one,
+  /// and if all requests have the same.
+  std::optional<int> priority;
   /// The target is another entry, which gets the call as its caller sent it and
   /// serves it in place of this one. Its answers carry no notices.
   bool is_relay = false;
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -88,6 +88,7 @@
                  request.call->prompt ? request.call->prompt->shared_parts
                                       : std::vector<PromptPartId>(),
                  *request.call->body, std::move(relayed_call), &observer});
+  send->priority = request.priority;
   sends.push_back(send);
   return std::make_unique<FakeTargetCall>(send);
 }
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -37,6 +37,7 @@
   std::optional<ForwardCall> relayed_call;
   /// Null once the forwarder has closed the connection.
   TargetObserver* observer = nullptr;
+  std::optional<int> priority = std::nullopt;
 };
 
 /// Records attempts, checks and reservations. Tests act as the targets.
--- a/tests/platform/platform_state_decoder_test.cc
+++ b/tests/platform/platform_state_decoder_test.cc
@@ -2,8 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
+#include "kingcupdrift/forwarding/request_priority.h"
+
 namespace kingcupdrift::platform {
 namespace {
 
@@ -71,6 +74,69 @@
   CHECK(config->workspace_of_key.at("k2") == WorkspaceId("w"));
 }
 
+// Failure: a priority out of range or of the wrong type reaches engines, or
+// makes the whole configuration unusable.
+TEST_CASE("priorities are decoded, clamped, and ignored if no numbers") {
+  const auto route_priority = [](const json& value) {
+    json config = Config();
+    config["routes"][0]["priority"] = value;
+    const Result<ServingConfig> decoded = kDecoder.DecodeConfig(config.dump());
+    REQUIRE(decoded);
+    return decoded->routes.at(0).priority;
+  };
+  CHECK(route_priority(0) == 0);
+  CHECK(route_priority(9) == 9);
+  CHECK(route_priority(10) == 9);
+  CHECK(route_priority(-1) == 0);
+  CHECK(route_priority(INT64_MIN) == 0);
+  CHECK(route_priority(UINT64_MAX) == 9);
+  CHECK(route_priority(1e300) == 9);
+  CHECK(route_priority(2.7) == 2);
+  CHECK_FALSE(route_priority(nullptr));
+  CHECK_FALSE(route_priority("1"));
+  CHECK_FALSE(route_priority(true));
+  CHECK_FALSE(route_priority(json::array({1})));
+  CHECK_FALSE(kDecoder.DecodeConfig(Config().dump())->routes.at(0).priority);
+}
+
+TEST_CASE("a workspace's priority replaces that of the route") {
+  json document = Config();
+  document["routes"][0]["priority"] = 3;
+  document["tenants"] = {
+      {{"name", "w"}, {"api_keys", {"k1"}}, {"priority", -4}},
+      {{"name", "v"}, {"api_keys", {"k2"}}},
+      {{"name", "u"}, {"api_keys", {"k3"}}, {"priority", "high"}}};
+  const Result<ServingConfig> config = kDecoder.DecodeConfig(document.dump());
+  REQUIRE(config);
+  const RouteRule& route = config->routes.at(0);
+  CHECK(FindPriority(*config, route, WorkspaceId("w")) == 0);
+  CHECK(FindPriority(*config, route, WorkspaceId("v")) == 3);
+  CHECK(FindPriority(*config, route, WorkspaceId("u")) == 3);
+  CHECK(FindPriority(*config, route, WorkspaceId()) == 3);
+  CHECK(HasDifferingPriorities(*config));
+}
+
+// Negative test: nothing changes on the wire without differing priorities.
+TEST_CASE("priorities differ only if two requests can have different ones") {
+  json document = Config();
+  document["routes"].push_back(Route());
+  const auto differs = [&document] {
+    return HasDifferingPriorities(*kDecoder.DecodeConfig(document.dump()));
+  };
+  CHECK_FALSE(differs());
+  document["routes"][0]["priority"] = kDefaultPriority;
+  CHECK_FALSE(differs());
+  document["routes"][0]["priority"] = 2;
+  CHECK(differs());
+  document["routes"][1]["priority"] = 2;
+  CHECK_FALSE(differs());
+  // Without anonymous requests, the workspace's priority is the only one.
+  document["tenants"][0]["priority"] = 7;
+  CHECK_FALSE(differs());
+  document["routes"][0]["allow_anonymous"] = true;
+  CHECK(differs());
+}
+
 TEST_CASE("only routes of kind safe and resumable streams may be retried") {
   const auto retry_safety_of = [](const char* kind, bool resumes) {
     json config = Config();
--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -175,6 +175,21 @@
   CHECK(Value(headers, "Helpers") == "10.0.0.1:80/t1,10.0.0.2:80");
 }
 
+// Failure: a caller gives its request a priority of its own.
+TEST_CASE("engines get the request's priority, never the caller's") {
+  const ForwardCall call = Decode(
+      {{"Host", "h"}, {"Request-Priority", "0"}, {"request-priority", "1"}});
+  TargetRequest request;
+  request.call = &call;
+  CHECK(Value(EncodeTargetHeaders(EngineAddress(), request), "Request-Priority")
+            .empty());
+  request.priority = 7;
+  CHECK(Value(EncodeTargetHeaders(EngineAddress(), request),
+              "Request-Priority") == "7");
+  // The other entry applies its own configuration.
+  CHECK(Value(EncodeRelayHeaders(request), "Request-Priority").empty());
+}
+
 TEST_CASE("a response head is decoded with its request ID and not-run mark") {
   const TargetResponseHead answer =
       DecodeAnswer(503, {{"Request-Id", "9c41"},
