Order waiting requests by priority and fair share

Cause: waiting requests were ordered by work alone, so that less urgent short prompts took the capacity that urgent ones waited for, and one workspace could take all of it. Change: WaitOrder orders by priority, the workspace's excess over its fair share, age and work. An urgent request that is about to be late keeps less urgent ones from starting. Without differing priorities and with a similar load of all workspaces the order is unchanged.

--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -42,7 +42,7 @@
         rate_limiter(clock, settings_in.instance),
         work_tracker(clock),
         budget(clock, settings_in.budget),
-        queue(clock),
+        queue(clock, log),
         reachability(clock, random, targets, directory, log),
         checker(clock, targets, health, reachability, log),
         crash_monitor(clock, health, log) {}
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -39,8 +39,15 @@
   context_.budget.CountRequest(service_);
   deadline_timer_ = context_.clock.RunAfter(deadline_ - arrival_,
                                             [this] { HandleTimeLimit(); });
-  if (!TryDispatch()) {
+  const WaitInfo info = MakeWaitInfo();
+  const bool is_preceded = context_.queue.IsPreceded(info);
+  if (!TryDispatch(!is_preceded)) {
     EnterWaitQueue();
+    if (is_preceded) {
+      context_.queue.Wake();
+    }
+  } else if (!is_done_) {
+    context_.queue.CountStart(info);
   }
 }
 
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -34,7 +34,7 @@
   /// idempotent, or if no further attempt or retry budget is left.
   void HandleEngineDown(const EngineId& engine);
 
-  bool TryResume() override;
+  bool TryResume(bool may_start) override;
   void OnStreamBegin(int status, const HeaderList& headers) override;
   void OnStreamEvents(const std::string& events) override;
   void OnAttemptEnd(ForwardAttemptResult result) override;
@@ -91,7 +91,9 @@
   void HandleQuarantined();
   /// The present attempt was answered, so its request does not crash engines.
   void ReportAnswered();
-  bool TryDispatch();
+  /// Sends the request, or refuses it if it can't be served; false if it must
+  /// wait. It is not sent to a target if `may_start` is false.
+  bool TryDispatch(bool may_start);
   PlacementResult Choose(SendPlan& plan);
   /// The entry that is to serve the request in place of this one: absent unless
   /// this entry is cut off from all engines, or if the request was passed on
@@ -124,6 +126,7 @@
   /// least loaded target.
   const EngineTiming* FindEngineTiming() const;
   void EnterWaitQueue();
+  WaitInfo MakeWaitInfo() const;
   /// Sends to `plan`; first reserves memory at prefill helpers that hold part
   /// of the prompt.
   void Dispatch(const SendPlan& plan);
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -247,7 +247,7 @@
       !context_.budget.TryTake(service_, context_.entry_count)) {
     return false;
   }
-  if (!TryDispatch()) {
+  if (!TryDispatch(true)) {
     EnterWaitQueue();
   }
   return true;
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -7,14 +7,14 @@
 
 namespace kingcupdrift {
 
-bool ForwardRequest::TryResume() {
+bool ForwardRequest::TryResume(bool may_start) {
   if (is_done_) {
     return true;
   }
-  return TryDispatch();
+  return TryDispatch(may_start);
 }
 
-bool ForwardRequest::TryDispatch() {
+bool ForwardRequest::TryDispatch(bool may_start) {
   if (GetQuarantineLeft() > Duration::zero()) {
     HandleQuarantined();
     return true;
@@ -26,6 +26,9 @@
   SendPlan plan;
   switch (Choose(plan)) {
     case PlacementResult::kPlaced:
+      if (!may_start) {
+        return false;
+      }
       Dispatch(plan);
       return true;
     case PlacementResult::kImpossible:
@@ -189,11 +192,28 @@
 
 void ForwardRequest::EnterWaitQueue() {
   is_waiting_ = true;
-  Duration work{0};
+  context_.queue.Add(*this, MakeWaitInfo());
+}
+
+WaitInfo ForwardRequest::MakeWaitInfo() const {
+  WaitInfo info;
+  info.request = call_.id;
+  info.service = service_;
+  info.workspace = workspace_;
+  info.priority = FindPriority(table_->config(), *route_, workspace_)
+                      .value_or(kDefaultPriority);
+  info.uses_priority = table_->has_differing_priorities();
+  info.arrival = arrival_;
+  info.max_wait = deadline_ - arrival_;
+  info.target_latency = route_->target_latency;
+  info.can_hold = excluded_targets_.empty();
   if (const EngineTiming* const timing = FindEngineTiming()) {
-    work = timing->EstimatePrefillTime(call_.prompt->prompt);
+    info.work = timing->EstimatePrefillTime(call_.prompt->prompt);
+    if (!has_begun_) {
+      info.max_wait = std::min(info.max_wait, route_->first_event_timeout);
+    }
   }
-  context_.queue.Add(*this, work);
+  return info;
 }
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -21,6 +21,11 @@
   };
   add_gauge("kingcupdrift_requests_in_progress", requests_in_progress);
   add_gauge("kingcupdrift_requests_waiting", context.queue.size());
+  out += "# TYPE kingcupdrift_requests_waiting_by_priority gauge\n";
+  for (const auto& [priority, count] : context.queue.sizes_by_priority()) {
+    out += "kingcupdrift_requests_waiting_by_priority{priority=\"" +
+           std::to_string(priority) + "\"} " + std::to_string(count) + "\n";
+  }
   add_gauge("kingcupdrift_log_lines_dropped", context.log.dropped());
   add_gauge("kingcupdrift_targets_leaving",
             context.directory.ListLeaving().size());
@@ -42,6 +47,9 @@
            std::to_string(value) + "\n";
   };
   add_counter("kingcupdrift_target_pauses_total", context.pauses);
+  add_counter("kingcupdrift_less_urgent_holds_total", context.queue.holds());
+  add_counter("kingcupdrift_promoted_starts_total",
+              context.queue.promoted_starts());
   add_counter("kingcupdrift_requests_relayed_total", context.relayed_requests);
   add_counter("kingcupdrift_engines_found_down_total",
               context.engines_found_down);
