Refuse waiting prompts that can't be served in time

Cause: a prompt without a chance waited until its time to the first event had passed, so that its caller lost the time and the answer. Change: a waiting prompt is refused once even all engines of its service, working on nothing but the work ahead of it and their known backlog, would be too late. The work ahead follows the order of the queue, so less urgent and then larger prompts are refused first.

--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -81,6 +81,8 @@
   std::uint64_t pauses = 0;
   // Checks that found an engine down, for metrics.
   std::uint64_t engines_found_down = 0;
+  // Prompts refused for the work ahead of them, for metrics.
+  std::uint64_t refused_early = 0;
   // Number of requests by outcome, for metrics.
   std::map<std::string, std::uint64_t> outcomes;
 };
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -165,12 +165,12 @@
   ForwardRefusal refusal;
   refusal.type = type;
   if (GuaranteesNotRun(type)) {
-    refusal.retry_after = kRetryAfter;
+    refusal.retry_after = retry_after_;
     if (type == ForwardRefusalType::kOverloaded ||
         type == ForwardRefusalType::kTargetDeclined) {
       // Paused and limited targets take nothing before that.
-      refusal.retry_after =
-          std::max(kRetryAfter, GetCandidateDelay().value_or(Duration::zero()));
+      refusal.retry_after = std::max(
+          retry_after_, GetCandidateDelay().value_or(Duration::zero()));
     } else if (type == ForwardRefusalType::kQuarantined) {
       refusal.retry_after = std::max(kRetryAfter, GetQuarantineLeft());
     }
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -59,6 +59,8 @@
   /// Advice to callers whose request has not run: some of the present work is
   /// done then.
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
+  /// Interval between estimates of a waiting prompt's time to its first event.
+  static constexpr Duration kEstimateInterval = std::chrono::milliseconds(100);
   /// Timeout for a stream's next event before a retry, in multiples of the
   /// route's `max_event_gap`.
   static constexpr int kStallTimeoutFactor = 4;
@@ -127,6 +129,9 @@
   const EngineTiming* FindEngineTiming() const;
   void EnterWaitQueue();
   WaitInfo MakeWaitInfo() const;
+  /// Refuses a waiting prompt that can't get its first event in time, even if
+  /// the engines work on nothing but the work ahead of it.
+  bool RefuseIfTooLate();
   /// Sends to `plan`; first reserves memory at prefill helpers that hold part
   /// of the prompt.
   void Dispatch(const SendPlan& plan);
@@ -207,6 +212,9 @@
   // Attempts that certainly didn't run; not counted in `sends_`.
   int unexecuted_sends_ = 0;
   bool is_waiting_ = false;
+  // Least Retry-After of a refusal for the work ahead.
+  Duration retry_after_ = kRetryAfter;
+  MonotonicTime next_estimate_at_{};
   bool may_have_run_ = false;
   bool has_begun_ = false;
   bool is_done_ = false;
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -27,7 +27,7 @@
   switch (Choose(plan)) {
     case PlacementResult::kPlaced:
       if (!may_start) {
-        return false;
+        return RefuseIfTooLate();
       }
       Dispatch(plan);
       return true;
@@ -36,7 +36,7 @@
           "no target is usable, has enough memory or can answer in time");
       return true;
     case PlacementResult::kMustWait:
-      return false;
+      return RefuseIfTooLate();
   }
   return false;
 }
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -50,6 +50,7 @@
   add_counter("kingcupdrift_less_urgent_holds_total", context.queue.holds());
   add_counter("kingcupdrift_promoted_starts_total",
               context.queue.promoted_starts());
+  add_counter("kingcupdrift_refused_early_total", context.refused_early);
   add_counter("kingcupdrift_requests_relayed_total", context.relayed_requests);
   add_counter("kingcupdrift_engines_found_down_total",
               context.engines_found_down);
--- a/src/kingcupdrift/forwarding/internal/wait_order.h
+++ b/src/kingcupdrift/forwarding/internal/wait_order.h
@@ -65,7 +65,7 @@
   /// Counts a request that waited and ended without a start.
   void CountLoss(const WaitInfo& info);
 
-  /// Returns the positions of all requests, by `WaitInfo` and number.
+  /// Returns the positions of all requests in their order.
   std::vector<WaitPosition> Arrange(const Waiting& waiting) const;
   /// Returns whether a waiting request of the same service comes before an
   /// arriving one by priority, share or age, so that the arriving one must not
--- a/src/kingcupdrift/forwarding/internal/wait_queue.cc
+++ b/src/kingcupdrift/forwarding/internal/wait_queue.cc
@@ -50,6 +50,7 @@
   is_woken_ = false;
   std::map<ServiceId, int> holds;
   std::set<ServiceId> held_for_aged;
+  std::map<ServiceId, Duration> work_ahead;
   for (const WaitPosition& position : order_.Arrange(waiting_)) {
     // A request tried before may have ended or removed this one.
     const auto it = waiters_.find(position.number);
@@ -61,6 +62,7 @@
     const bool may_start =
         !held_for_aged.contains(service) &&
         (hold == holds.end() || position.level <= hold->second);
+    work_ahead_ = work_ahead[service];
     const bool is_over = it->second->TryResume(may_start);
     // A request that ended without a start removed itself.
     const auto waiting = waiting_.find(position.number);
@@ -71,10 +73,11 @@
       CountWaiterStart(position);
       continue;
     }
+    const WaitInfo& info = waiting->second;
+    work_ahead[service] += info.work;
     if (!may_start) {
       continue;
     }
-    const WaitInfo& info = waiting->second;
     if (order_.IsHolding(info)) {
       holds.try_emplace(service, position.level);
     }
@@ -83,6 +86,7 @@
       held_for_aged.insert(service);
     }
   }
+  work_ahead_ = Duration::zero();
   UpdateHolds(std::move(holds));
   if (!waiters_.empty() && !timer_) {
     Schedule(kInterval);
--- a/src/kingcupdrift/forwarding/internal/wait_queue.h
+++ b/src/kingcupdrift/forwarding/internal/wait_queue.h
@@ -48,6 +48,9 @@
   bool IsPreceded(const WaitInfo& arriving) const {
     return order_.IsPreceded(arriving, waiting_);
   }
+  /// Inside `Waiter::TryResume`: work of the requests of the same service that
+  /// come before this one and still wait. Otherwise zero.
+  Duration work_ahead() const { return work_ahead_; }
   /// Lets the waiting requests try in a later turn of the event loop.
   void Wake();
   std::size_t size() const { return waiters_.size(); }
@@ -91,6 +94,7 @@
   std::map<ServiceId, int> holds_by_service_;
   /// Start of the last hold for aged requests, by service.
   std::map<ServiceId, MonotonicTime> aged_holds_;
+  Duration work_ahead_{0};
   std::uint64_t promoted_starts_ = 0;
   std::uint64_t holds_ = 0;
   std::uint64_t next_number_ = 0;
