--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -44,7 +44,7 @@
         work_tracker(clock),
         budget(clock, settings_in.budget),
         overdue_allowance(clock, random, budget),
-        queue(clock),
+        queue(clock, log),
         reachability(clock, random, targets, directory, log),
         checker(clock, targets, health, reachability, directory, log),
         crash_monitor(clock, health, log) {}
@@ -86,6 +86,8 @@
   std::uint64_t pauses = 0;
   // Checks that found an engine down, for metrics.
   std::uint64_t engines_found_down = 0;
+  // Prompts refused for the work ahead of them, for metrics.
+  std::uint64_t refused_early = 0;
   // Number of requests by outcome, for metrics.
   std::map<std::string, std::uint64_t> outcomes;
 };
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -39,8 +39,15 @@
   context_.budget.CountRequest(service_);
   deadline_timer_ = context_.clock.RunAfter(deadline_ - arrival_,
                                             [this] { HandleTimeLimit(); });
-  if (!TryDispatch()) {
+  const WaitInfo info = MakeWaitInfo();
+  const bool is_preceded = context_.queue.IsPreceded(info);
+  if (!TryDispatch(!is_preceded)) {
     EnterWaitQueue();
+    if (is_preceded) {
+      context_.queue.Wake();
+    }
+  } else if (!is_done_) {
+    context_.queue.CountStart(info);
   }
 }
 
@@ -162,12 +169,12 @@
   ForwardRefusal refusal;
   refusal.type = type;
   if (GuaranteesNotRun(type)) {
-    refusal.retry_after = kRetryAfter;
+    refusal.retry_after = retry_after_;
     if (type == ForwardRefusalType::kOverloaded ||
         type == ForwardRefusalType::kTargetDeclined) {
       // Paused and limited targets take nothing before that.
-      refusal.retry_after =
-          std::max(kRetryAfter, GetCandidateDelay().value_or(Duration::zero()));
+      refusal.retry_after = std::max(
+          retry_after_, GetCandidateDelay().value_or(Duration::zero()));
     } else if (type == ForwardRefusalType::kQuarantined) {
       refusal.retry_after = std::max(kRetryAfter, GetQuarantineLeft());
     }
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -35,7 +35,7 @@
   /// idempotent, or if no further attempt or retry budget is left.
   void HandleEngineDown(const EngineId& engine);
 
-  bool TryResume() override;
+  bool TryResume(bool may_start) override;
   void OnStreamBegin(int status, const HeaderList& headers) override;
   void OnStreamEvents(const std::string& events) override;
   void OnAttemptEnd(ForwardAttemptResult result) override;
@@ -61,6 +61,8 @@
   /// Advice to callers whose request has not run: some of the present work is
   /// done then.
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
+  /// Interval between estimates of a waiting prompt's time to its first event.
+  static constexpr Duration kEstimateInterval = std::chrono::milliseconds(100);
   /// Timeout for a stream's next event before a retry, in multiples of the
   /// route's `max_event_gap`.
   static constexpr int kStallTimeoutFactor = 4;
@@ -93,7 +95,9 @@
   void HandleQuarantined();
   /// The present attempt was answered, so its request does not crash engines.
   void ReportAnswered();
-  bool TryDispatch();
+  /// Sends the request, or refuses it if it can't be served; false if it must
+  /// wait. It is not sent to a target if `may_start` is false.
+  bool TryDispatch(bool may_start);
   PlacementResult Choose(SendPlan& plan);
   /// The entry that is to serve the request in place of this one: absent unless
   /// this entry is cut off from all engines, or if the request was passed on
@@ -126,6 +130,10 @@
   /// least loaded target.
   const EngineTiming* FindEngineTiming() const;
   void EnterWaitQueue();
+  WaitInfo MakeWaitInfo() const;
+  /// Refuses a waiting prompt that can't get its first event in time, even if
+  /// the engines work on nothing but the work ahead of it.
+  bool RefuseIfTooLate();
   /// Sends to `plan`; first reserves memory at prefill helpers that hold part
   /// of the prompt.
   void Dispatch(const SendPlan& plan);
@@ -223,6 +231,9 @@
   // Attempts that certainly didn't run; not counted in `sends_`.
   int unexecuted_sends_ = 0;
   bool is_waiting_ = false;
+  // Least Retry-After of a refusal for the work ahead.
+  Duration retry_after_ = kRetryAfter;
+  MonotonicTime next_estimate_at_{};
   bool may_have_run_ = false;
   bool has_begun_ = false;
   bool is_done_ = false;
--- a/src/kingcupdrift/routing/prompt_placer.h
+++ b/src/kingcupdrift/routing/prompt_placer.h
@@ -28,6 +28,8 @@
   std::uint64_t seed = 0;
   /// Tokens that the answer is expected to have.
   TokenCount expected_output = TokenCount();
+  /// Other entries place prompts on the same engines.
+  bool shares_engines = false;
 };
 
 /// An engine and its load.
--- a/src/kingcupdrift/routing/prompt_placer_whole.cc
+++ b/src/kingcupdrift/routing/prompt_placer_whole.cc
@@ -56,7 +56,8 @@
       request.expected_output.value() / timing_.steps_per_iteration + 1;
   // Several entries may see the same last slot as free and fill it at once, so
   // that only prompts without time left take it.
-  const int usable_slots = std::max(timing_.slots - 1, 1);
+  const int usable_slots =
+      request.shares_engines ? std::max(timing_.slots - 1, 1) : timing_.slots;
   SeededRandom random(request.seed);
   std::optional<PromptPlacement> best;
   Duration best_cost{0};
--- a/tests/routing/slot_wait_test.cc
+++ b/tests/routing/slot_wait_test.cc
@@ -50,7 +50,7 @@
   PromptPlacementRequest request{TokenCount(4960),  TokenCount(1500),
                                  milliseconds(300), milliseconds(250),
                                  Duration::zero(),  0,
-                                 TokenCount(1500)};
+                                 TokenCount(1500),  true};
   // 690 streams are 8.8 an engine, of 12.
   std::vector<std::size_t> order;
   for (std::uint64_t i = 0; i < 3'000; ++i) {
@@ -82,7 +82,7 @@
   PromptPlacementRequest request{TokenCount(4960),  TokenCount(1500),
                                  milliseconds(300), milliseconds(250),
                                  Duration::zero(),  0,
-                                 TokenCount(1500)};
+                                 TokenCount(1500),  true};
   for (std::uint64_t i = 0; i < 90; ++i) {
     request.seed = i;
     EngineLoad& load = engines[placer.Place(request, engines)->engine].work;
