Report and drop what an HTTP response or call still holds

Once a response was ended, nothing could tell how many of its bytes wait for a caller that does not read, nor drop them. A call could not tell what its server had sent while it was paused.

HttpExchange now reports unsent and unacknowledged bytes also after the response's end, announces that the last byte was sent, and can discard the rest with a reset. HttpCall reports the bytes that have arrived unread. HttpServerSettings::max_kernel_unsent_bytes bounds what the kernel holds of a response in chunks; it is off by default. Chunks are appended to the buffer's last segment while earlier bytes wait, instead of adding a segment for each.

--- a/src/kingcupdrift/net/http_client.h
+++ b/src/kingcupdrift/net/http_client.h
@@ -64,6 +64,9 @@
   virtual ~HttpCall() = default;
   /// Stops or resumes reading the response.
   virtual void SetPaused(bool is_paused) = 0;
+  /// Bytes of the response that have arrived and were not read, in the kernel
+  /// too.
+  virtual ByteCount GetUnreadBytes() const { return ByteCount(0); }
 };
 
 struct HttpClientSettings {
--- a/src/kingcupdrift/net/http_server.cc
+++ b/src/kingcupdrift/net/http_server.cc
@@ -45,6 +45,7 @@
     evhttp_set_max_body_size(http, settings.max_body_bytes.value());
     const timeval limit = ToTimeval(settings.inactivity_timeout);
     evhttp_set_timeout_tv(http, &limit);
+    max_kernel_unsent_bytes_ = settings.max_kernel_unsent_bytes;
   }
 
   std::size_t CountUnfinishedExchanges() const override { return *unfinished_; }
@@ -53,7 +54,8 @@
   static void HandleRequest(evhttp_request* request, void* arg) {
     auto& server = *static_cast<EvhttpServer*>(arg);
     auto exchange =
-        CreateServerExchange(server.loop_, request, server.unfinished_);
+        CreateServerExchange(server.loop_, request, server.unfinished_,
+                             server.max_kernel_unsent_bytes_);
     if (exchange->body()->size() < kLargeBodyBytes) {
       server.handler_(std::move(exchange));
     } else {
@@ -83,6 +85,7 @@
   std::shared_ptr<std::size_t> unfinished_ = std::make_shared<std::size_t>(0);
   HttpHandle http_;
   Endpoint endpoint_;
+  ByteCount max_kernel_unsent_bytes_;
 };
 
 }  // namespace
--- a/src/kingcupdrift/net/http_server.h
+++ b/src/kingcupdrift/net/http_server.h
@@ -21,6 +21,10 @@
   /// A connection is closed after this long without a byte while its request is
   /// incomplete, the caller does not read the response, or it is idle.
   Duration inactivity_timeout = std::chrono::seconds(60);
+  /// Most bytes of a response in chunks that the kernel holds before it sends
+  /// them, so that a caller that reads nothing costs little there. Zero: the
+  /// kernel's default, up to some megabytes.
+  ByteCount max_kernel_unsent_bytes{0};
 };
 
 /// From this size on, reading, parsing and routing a request body run in
@@ -53,9 +57,19 @@
 
   /// True once the connection is closed; writes then have no effect.
   virtual bool IsClosed() const = 0;
-  /// Bytes in the connection's send buffer, headers included; 0 once the
-  /// response was ended or the connection is closed.
+  /// Bytes in the connection's send buffer, headers included, also after the
+  /// response was ended; 0 once the connection is closed.
   virtual ByteCount GetUnsentBytes() const = 0;
+  /// The unsent bytes and those in the kernel that the caller's side has not
+  /// acknowledged.
+  virtual ByteCount GetUndeliveredBytes() const { return GetUnsentBytes(); }
+  /// Called once, on the loop, after the response was ended, when its last byte
+  /// was sent or the connection has failed. The callback may destroy the
+  /// exchange. Destroying the exchange earlier drops the callback only.
+  virtual void SetSentCallback(std::function<void()>) {}  // NOLINT
+  /// Resets the connection, also after the response was ended; unsent bytes
+  /// are dropped, in the kernel too. No callback follows.
+  virtual void Discard() {}
   /// Called once, on the loop, if the caller closes the connection or it fails
   /// before the response was ended. The callback may destroy the exchange.
   virtual void SetClosedCallback(std::function<void()> callback) = 0;
--- a/src/kingcupdrift/net/internal/client_call.cc
+++ b/src/kingcupdrift/net/internal/client_call.cc
@@ -25,6 +25,10 @@
     }
   }
 
+  ByteCount GetUnreadBytes() const override {
+    return connection_ ? connection_->GetUnreadBytes() : ByteCount(0);
+  }
+
   void HandleHeaders(int status, const HeaderList& headers) override {
     has_headers_ = true;
     last_progress_ = pool_.clock().Now();
--- a/src/kingcupdrift/net/internal/client_connection.cc
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -88,6 +88,12 @@
   }
 }
 
+ByteCount ClientConnection::GetUnreadBytes() const {
+  const evbuffer* const input = bufferevent_get_input(stream());
+  return ByteCount(static_cast<std::int64_t>(evbuffer_get_length(input))) +
+         GetArrivedBytes(bufferevent_getfd(stream()));
+}
+
 int ClientConnection::OnHeaders(evhttp_request* request, void* arg) {
   auto& self = *static_cast<ClientConnection*>(arg);
   self.has_head_ = true;
--- a/src/kingcupdrift/net/internal/client_connection.h
+++ b/src/kingcupdrift/net/internal/client_connection.h
@@ -58,6 +58,8 @@
   void DetachDelegate() { delegate_ = nullptr; }
 
   void SetPaused(bool is_paused);
+  /// Bytes that have arrived and were not read, in the kernel too.
+  ByteCount GetUnreadBytes() const;
   /// True once a byte of the request was sent.
   bool is_sent() const { return is_sent_; }
   /// True if the connection is open and has no unread bytes.
--- a/src/kingcupdrift/net/internal/server_exchange.cc
+++ b/src/kingcupdrift/net/internal/server_exchange.cc
@@ -28,11 +28,20 @@
 // evhttp does not read while it waits for a response, so a separate event on
 // the socket detects that the caller closed the connection.
 class ServerExchange : public HttpExchange {
+  /// A response that was ended and is not sent whole. Freed with it.
+  struct Ending {
+    std::unique_ptr<ExchangeCount> count;
+    // Null once the exchange is destroyed.
+    ServerExchange* exchange;
+  };
+
  public:
   ServerExchange(EventLoop& loop,
                  evhttp_request* request,
-                 std::shared_ptr<std::size_t> unfinished_count)
-      : count_(std::make_unique<ExchangeCount>(std::move(unfinished_count))),
+                 std::shared_ptr<std::size_t> unfinished_count,
+                 ByteCount max_kernel_unsent_bytes)
+      : max_kernel_unsent_bytes_(max_kernel_unsent_bytes),
+        count_(std::make_unique<ExchangeCount>(std::move(unfinished_count))),
         request_(request),
         connection_(evhttp_request_get_connection(request)),
         method_(GetHttpMethodName(evhttp_request_get_command(request))),
@@ -50,6 +59,9 @@
 
   ~ServerExchange() override {
     close_event_.reset();
+    if (ending_ != nullptr) {
+      ending_->exchange = nullptr;
+    }
     if (request_ == nullptr) {
       return;
     }
@@ -83,13 +95,30 @@
       return;
     }
     AddHeaders(evhttp_request_get_output_headers(request_), headers);
+    if (max_kernel_unsent_bytes_ > ByteCount(0)) {
+      SetMaxUnsentBytes(bufferevent_getfd(stream()), max_kernel_unsent_bytes_);
+    }
     evhttp_send_reply_start(request_, status, nullptr);
+    is_chunked_ =
+        evhttp_find_header(evhttp_request_get_output_headers(request_),
+                           "Transfer-Encoding") != nullptr;
   }
 
   void WriteChunk(std::string_view bytes) override {
     if (request_ == nullptr || bytes.empty()) {
       return;
     }
+    evbuffer* const output = bufferevent_get_output(stream());
+    if (std::exchange(has_chunk_, true) && is_chunked_ &&
+        evbuffer_get_length(output) > 0) {
+      // evhttp would add a buffer segment of a kilobyte for each chunk, many
+      // times the size of a short event. The write in progress ends with these
+      // bytes and then calls HandleDrained.
+      evbuffer_add_printf(output, "%zx\r\n", bytes.size());
+      evbuffer_add(output, bytes.data(), bytes.size());
+      evbuffer_add(output, "\r\n", 2);
+      return;
+    }
     const BufferHandle buffer(evbuffer_new());
     evbuffer_add(buffer.get(), bytes.data(), bytes.size());
     evhttp_send_reply_chunk_with_cb(request_, buffer.get(), &HandleDrained,
@@ -104,13 +133,38 @@
   }
 
   ByteCount GetUnsentBytes() const override {
-    if (request_ == nullptr) {
+    if (request_ == nullptr && ending_ == nullptr) {
       return ByteCount(0);
     }
     const evbuffer* const output = bufferevent_get_output(stream());
     return ByteCount(static_cast<std::int64_t>(evbuffer_get_length(output)));
   }
 
+  ByteCount GetUndeliveredBytes() const override {
+    if (request_ == nullptr && ending_ == nullptr) {
+      return ByteCount(0);
+    }
+    return GetUnsentBytes() +
+           GetUnacknowledgedBytes(bufferevent_getfd(stream()));
+  }
+
+  void Discard() override {
+    if (request_ == nullptr && ending_ == nullptr) {
+      return;
+    }
+    close_event_.reset();
+    request_ = nullptr;
+    delete std::exchange(ending_, nullptr);
+    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+    SetResetOnClose(bufferevent_getfd(stream()));
+    // Frees the request too.
+    evhttp_connection_free(connection_);
+  }
+
+  void SetSentCallback(std::function<void()> callback) override {
+    sent_callback_ = std::move(callback);
+  }
+
   void SetClosedCallback(std::function<void()> callback) override {
     closed_callback_ = std::move(callback);
   }
@@ -166,9 +220,9 @@
   // sent.
   evhttp_request* Detach() {
     close_event_.reset();
-    ExchangeCount* const count = count_.release();
-    evhttp_request_set_on_complete_cb(request_, &HandleSent, count);
-    evhttp_connection_set_closecb(connection_, &HandleNotSent, count);
+    ending_ = new Ending{std::move(count_), this};
+    evhttp_request_set_on_complete_cb(request_, &HandleSent, ending_);
+    evhttp_connection_set_closecb(connection_, &HandleNotSent, ending_);
     return std::exchange(request_, nullptr);
   }
 
@@ -176,17 +230,32 @@
     evhttp_connection* const connection =
         evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    delete static_cast<ExchangeCount*>(arg);
+    HandleEnding(static_cast<Ending*>(arg));
   }
 
   static void HandleNotSent(evhttp_connection*, void* arg) {
-    delete static_cast<ExchangeCount*>(arg);
+    HandleEnding(static_cast<Ending*>(arg));
+  }
+
+  static void HandleEnding(Ending* arg) {
+    const std::unique_ptr<Ending> ending(arg);
+    ServerExchange* const self = ending->exchange;
+    if (self == nullptr) {
+      return;
+    }
+    self->ending_ = nullptr;
+    if (self->sent_callback_) {
+      // The callback may destroy the exchange.
+      const auto callback = std::move(self->sent_callback_);
+      callback();
+    }
   }
 
   bufferevent* stream() const {
     return evhttp_connection_get_bufferevent(connection_);
   }
 
+  ByteCount max_kernel_unsent_bytes_;
   std::unique_ptr<ExchangeCount> count_;
   evhttp_request* request_;
   evhttp_connection* connection_;
@@ -197,7 +266,14 @@
   EventHandle close_event_;
   std::function<void()> closed_callback_;
   std::function<void()> drained_callback_;
+  std::function<void()> sent_callback_;
   bool is_closed_ = false;
+  // The response is sent in chunks, and not up to the connection's end.
+  bool is_chunked_ = false;
+  // A chunk was written, so that HandleDrained follows the write in progress.
+  bool has_chunk_ = false;
+  // Null unless the response was ended and is not sent whole.
+  Ending* ending_ = nullptr;
 };
 
 }  // namespace
@@ -205,9 +281,10 @@
 std::unique_ptr<HttpExchange> CreateServerExchange(
     EventLoop& loop,
     evhttp_request* request,
-    std::shared_ptr<std::size_t> unfinished_count) {
-  return std::make_unique<ServerExchange>(loop, request,
-                                          std::move(unfinished_count));
+    std::shared_ptr<std::size_t> unfinished_count,
+    ByteCount max_kernel_unsent_bytes) {
+  return std::make_unique<ServerExchange>(
+      loop, request, std::move(unfinished_count), max_kernel_unsent_bytes);
 }
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/internal/socket_address.cc
+++ b/src/kingcupdrift/net/internal/socket_address.cc
@@ -1,8 +1,10 @@
 #include "kingcupdrift/net/internal/socket_address.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace kingcupdrift {
 
@@ -44,4 +46,24 @@
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void SetMaxUnsentBytes(int socket, ByteCount bytes) {
+  const int value = static_cast<int>(bytes.value());
+  setsockopt(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &value, sizeof(value));
+}
+
+ByteCount GetUnacknowledgedBytes(int socket) {
+  int bytes = 0;
+  return ByteCount(ioctl(socket, SIOCOUTQ, &bytes) == 0 ? bytes : 0);
+}
+
+ByteCount GetArrivedBytes(int socket) {
+  int bytes = 0;
+  return ByteCount(ioctl(socket, FIONREAD, &bytes) == 0 ? bytes : 0);
+}
+
+void SetResetOnClose(int socket) {
+  const linger at_once{1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/internal/socket_address.h
+++ b/src/kingcupdrift/net/internal/socket_address.h
@@ -26,6 +26,21 @@
 /// Disables Nagle's algorithm, so that small writes are sent at once.
 void DisableSendDelay(int socket);
 
+/// Limits the bytes that the kernel holds before it sends them, apart from
+/// those in flight.
+void SetMaxUnsentBytes(int socket, ByteCount bytes);
+
+/// Returns the bytes in the kernel that the other side has not acknowledged; 0
+/// on failure.
+ByteCount GetUnacknowledgedBytes(int socket);
+
+/// Returns the bytes that the kernel has received and that were not read; 0 on
+/// failure.
+ByteCount GetArrivedBytes(int socket);
+
+/// Makes closing the socket drop its unsent bytes and reset the connection.
+void SetResetOnClose(int socket);
+
 }  // namespace kingcupdrift
 
 #endif  // KINGCUPDRIFT_NET_INTERNAL_SOCKET_ADDRESS_H_
