Bound the memory held for slow readers

Each stream could hold 256,000 bytes for a slow caller without a bound on the total, and answers that were whole but unread were in no account. An entry of 160 MB could be killed for its memory by some hundred callers. Besides, an engine's event gap was measured on while the entry itself did not read, so that a slow caller cost the engine a failure and the request a retry.

BufferBudget keeps the account of unsent answers, request bodies, gathered answers and what the kernel holds while engines are paused. The limit of each connection shrinks as the total passes a fifth of limits.memory_mb, so that those that hold the most pause their engines first. Beyond two fifths, answers of which nothing was read for 5 s are aborted, the largest first; if none may be, new requests get 503 with Retry-After. Without the setting, limits are as before. A paused engine's event gap is not measured.

--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
   InstanceId instance;
   FailureDomain failure_domain;
   RetryBudgetSettings budget;
+  /// Memory that this process may use; bounds what is held for callers and
+  /// engines that read slowly. Absent without a limit.
+  std::optional<ByteCount> memory_limit = std::nullopt;
 };
 
 /// All of them outlive the forwarder.
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -23,7 +23,8 @@
 constexpr std::size_t kMaxPassedOnBytes = 500'000;
 
 ForwarderSettings ForwarderSettingsOf(const GatewaySettings& settings) {
-  return {settings.own.id, settings.own.failure_domain, settings.budget};
+  return {settings.own.id, settings.own.failure_domain, settings.budget,
+          settings.memory_limit};
 }
 
 class GatewayImpl : public Gateway, public PeerStateObserver {
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   /// Record of this entry.
   EntryRecord own;
   RetryBudgetSettings budget;
+  /// Memory that this process may use; absent without a limit.
+  std::optional<ByteCount> memory_limit = std::nullopt;
 };
 
 /// All of them outlive the gateway.
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -31,9 +31,12 @@
 }
 
 void ForwardAttempt::SetPaused(bool is_paused) {
-  if (call_) {
-    call_->SetPaused(is_paused);
+  if (!call_) {
+    return;
   }
+  call_->SetPaused(is_paused);
+  // No event can come meanwhile, which is not the target's fault.
+  RestartTimeoutTimer(is_paused ? Duration::zero() : timeouts_.stall_timeout);
 }
 
 void ForwardAttempt::Cancel() {
@@ -61,6 +64,7 @@
     return;
   }
   body_ += bytes;
+  owner_.OnAnswerGathered(body_.size());
   if (body_.size() > kMaxAnswerBytes) {
     End(ForwardAttemptOutcome::kInterrupted,
         "the answer exceeds the size limit");
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_ATTEMPT_H_
 #define KINGCUPDRIFT_FORWARDING_INTERNAL_FORWARD_ATTEMPT_H_
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +50,8 @@
   /// `events` consists of whole events.
   virtual void OnStreamEvents(const std::string& events) = 0;
   virtual void OnAttemptEnd(ForwardAttemptResult result) = 0;
+  /// `bytes` of an answer that is no stream have come so far.
+  virtual void OnAnswerGathered(std::size_t bytes) = 0;
 };
 
 struct AttemptTimeouts {
@@ -77,9 +80,13 @@
   const EngineAddress& target() const { return target_; }
   /// `OnStreamBegin` was called.
   bool has_first_event() const { return has_begun_; }
-  /// Stops or resumes reading from the target. Timeouts go on. Does nothing
-  /// after the end of the attempt.
+  /// Stops or resumes reading from the target. The event gap is not measured
+  /// while reading is stopped. Does nothing after the end of the attempt.
   void SetPaused(bool is_paused);
+  /// Bytes that have arrived from the target and were not read.
+  ByteCount GetUnreadBytes() const {
+    return call_ ? call_->GetUnreadBytes() : ByteCount(0);
+  }
   /// Closes the connection, which makes the target stop its work. No method of
   /// the owner is called afterwards.
   void Cancel();
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -11,9 +11,11 @@
 #include <vector>
 
 #include "kingcupdrift/forwarding/forwarder.h"
+#include "kingcupdrift/forwarding/internal/buffer_budget.h"
 #include "kingcupdrift/forwarding/internal/crash_monitor.h"
 #include "kingcupdrift/forwarding/internal/engine_checker.h"
 #include "kingcupdrift/forwarding/internal/engine_reachability.h"
+#include "kingcupdrift/forwarding/internal/unread_answers.h"
 #include "kingcupdrift/forwarding/internal/wait_queue.h"
 #include "kingcupdrift/forwarding/target_health.h"
 #include "kingcupdrift/forwarding/target_rate_limiter.h"
@@ -45,7 +47,9 @@
         queue(clock),
         reachability(clock, random, targets, directory, log),
         checker(clock, targets, health, reachability, log),
-        crash_monitor(clock, health, log) {}
+        crash_monitor(clock, health, log),
+        buffers(clock, log, settings_in.memory_limit),
+        unread_answers(buffers) {}
 
   ForwarderSettings settings;
   Clock& clock;
@@ -63,6 +67,10 @@
   EngineReachability reachability;
   EngineChecker checker;
   CrashMonitor crash_monitor;
+  BufferBudget buffers;
+  UnreadAnswers unread_answers;
+  // Requests refused because the memory for slow readers is used up.
+  std::uint64_t buffer_refusals = 0;
   std::vector<RelayPeer> relay_peers;
   // Attempts that went to other entries, for metrics.
   std::uint64_t relayed_requests = 0;
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -14,6 +14,7 @@
     : context_(context),
       call_(std::move(call)),
       sink_(std::move(sink)),
+      buffer_(context_.buffers, call_, *sink_, *this),
       on_done_(std::move(on_done)),
       table_(context.table),
       arrival_(context.clock.Now()),
@@ -21,15 +22,15 @@
 
 ForwardRequest::~ForwardRequest() {
   context_.queue.Remove(*this);
+  buffer_.Close();
+  if (context_.buffers.has_limit()) {
+    context_.unread_answers.Keep(call_.id, std::move(sink_));
+  }
 }
 
 void ForwardRequest::Start() {
   sink_->SetClosedCallback([this] { HandleClosed(); });
-  sink_->SetDrainedCallback([this] {
-    if (attempt_) {
-      attempt_->SetPaused(false);
-    }
-  });
+  sink_->SetDrainedCallback([this] { buffer_.HandleDrained(); });
   if (!Admit()) {
     return;
   }
@@ -79,6 +80,16 @@
     Refuse(ForwardRefusalType::kLeaving, "this entry is stopping");
     return false;
   }
+  if (context_.buffers.IsFull()) {
+    ++context_.buffer_refusals;
+    context_.log.Add("forward", "buffers_full")
+        .Text("request", call_.id.value())
+        .Number("total", context_.buffers.held().value())
+        .Number("mark", context_.buffers.abort_mark().value());
+    Refuse(ForwardRefusalType::kOverloaded,
+           "the memory for slow readers is used up");
+    return false;
+  }
   return true;
 }
 
@@ -99,6 +110,7 @@
     has_begun_ = true;
     time_to_first_event_ = context_.clock.Now() - arrival_;
     sink_->Begin(status, headers);
+    buffer_.Begin();
   }
 }
 
@@ -112,10 +124,7 @@
       now - *attempt_begun_at_ >= CrashMonitor::kProvingTime) {
     ReportAnswered();
   }
-  sink_->Write(events);
-  if (sink_->GetUnsentBytes() > kMaxUnsentBytes && attempt_) {
-    attempt_->SetPaused(true);
-  }
+  buffer_.Write(events, framer_->last_event_id());
 }
 
 void ForwardRequest::HandleTimeLimit() {
@@ -139,6 +148,24 @@
   Finish("caller_gone", "");
 }
 
+void ForwardRequest::SetEnginePaused(bool is_paused) {
+  if (attempt_) {
+    attempt_->SetPaused(is_paused);
+  }
+}
+
+ByteCount ForwardRequest::GetUnreadBytes() const {
+  return attempt_ ? attempt_->GetUnreadBytes() : ByteCount(0);
+}
+
+void ForwardRequest::YieldBuffer() {
+  sink_->Discard();
+  if (!is_done_) {
+    EndAttempt();
+    Finish("aborted", "the caller did not read, and memory was needed");
+  }
+}
+
 void ForwardRequest::AbortOrRefuse(std::string_view reason) {
   if (has_begun_) {
     sink_->Abort();
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "kingcupdrift/forwarding/internal/caller_buffer.h"
 #include "kingcupdrift/forwarding/internal/forward_attempt.h"
 #include "kingcupdrift/forwarding/internal/forward_context.h"
 #include "kingcupdrift/forwarding/internal/reservation_set.h"
@@ -16,7 +17,9 @@
 namespace kingcupdrift {
 
 /// One forwarded request, from its arrival to its outcome.
-class ForwardRequest : public AttemptOwner, public Waiter {
+class ForwardRequest : public AttemptOwner,
+                       public Waiter,
+                       public CallerBuffer::Request {
  public:
   /// `on_done` is called once. The request must stay alive until a later turn
   /// of the event loop.
@@ -38,6 +41,12 @@
   void OnStreamBegin(int status, const HeaderList& headers) override;
   void OnStreamEvents(const std::string& events) override;
   void OnAttemptEnd(ForwardAttemptResult result) override;
+  void OnAnswerGathered(std::size_t bytes) override {
+    buffer_.SetGathered(bytes);
+  }
+  void SetEnginePaused(bool is_paused) override;
+  ByteCount GetUnreadBytes() const override;
+  void YieldBuffer() override;
 
   /// Least time left for an attempt, also the first one: below it even an idle
   /// target cannot answer.
@@ -66,9 +75,6 @@
   /// the predicted part of the timeout for its first. Engines stall this long
   /// for another engine that died, then give up.
   static constexpr Duration kMinStallTimeout = std::chrono::milliseconds(1700);
-  /// The target is paused while more bytes than this wait for the caller's
-  /// connection.
-  static constexpr ByteCount kMaxUnsentBytes{256'000};
 
  private:
   /// Engines chosen for one attempt, and the predictions behind the choice.
@@ -172,6 +178,7 @@
   ForwardContext& context_;
   ForwardCall call_;
   std::unique_ptr<ForwardSink> sink_;
+  CallerBuffer buffer_;
   std::function<void()> on_done_;
   std::shared_ptr<const RouteTable> table_;
   const RouteRule* route_ = nullptr;
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -218,6 +218,7 @@
   if (attempt_) {
     attempt_->Cancel();
     ended_attempts_.push_back(std::move(attempt_));
+    buffer_.HandleAttemptEnd();
   }
   ReleaseWork();
 }
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -36,12 +36,17 @@
   add_gauge("kingcupdrift_requests_quarantined", requests);
   add_gauge("kingcupdrift_engines_in_reach",
             context.reachability.is_cut_off() ? 0 : 1);
+  add_gauge("kingcupdrift_bytes_held",
+            static_cast<std::size_t>(context.buffers.held().value()));
   const auto add_counter = [&out](const std::string& name,
                                   std::uint64_t value) {
     out += "# TYPE " + name + " counter\n" + name + " " +
            std::to_string(value) + "\n";
   };
   add_counter("kingcupdrift_target_pauses_total", context.pauses);
+  add_counter("kingcupdrift_buffer_pauses_total", context.buffers.pauses());
+  add_counter("kingcupdrift_buffer_aborts_total", context.buffers.aborts());
+  add_counter("kingcupdrift_buffer_refusals_total", context.buffer_refusals);
   add_counter("kingcupdrift_requests_relayed_total", context.relayed_requests);
   add_counter("kingcupdrift_engines_found_down_total",
               context.engines_found_down);
--- a/src/kingcupdrift/interfaces/forward_sink.h
+++ b/src/kingcupdrift/interfaces/forward_sink.h
@@ -53,7 +53,10 @@
 };
 
 /// Writes one request's answer to its caller. Exactly one of Reply, End, Abort
-/// and Refuse ends the request; after it no method is called.
+/// and Refuse ends the request; after it no method is called but those that
+/// concern bytes not yet sent: Discard, SetSentCallback, GetUnsentBytes and
+/// GetUndeliveredBytes. Bytes of an ended answer are sent also after the sink
+/// is destroyed.
 class ForwardSink {
  public:
   virtual ~ForwardSink() = default;
@@ -77,8 +80,18 @@
   /// `callback` runs whenever the caller's connection has taken all bytes
   /// written so far.
   virtual void SetDrainedCallback(std::function<void()> callback) = 0;
-  /// Bytes written that the caller's connection has not taken yet.
+  /// Bytes written that the caller's connection has not taken yet, also after
+  /// the answer's end.
   virtual ByteCount GetUnsentBytes() const = 0;
+  /// The unsent bytes and those that the kernel holds because the caller's side
+  /// has not acknowledged them. May cost a system call.
+  virtual ByteCount GetUndeliveredBytes() const { return GetUnsentBytes(); }
+  /// `callback` runs once, after the answer's end, when its last byte was sent
+  /// or the connection has failed. It may destroy the sink.
+  virtual void SetSentCallback(std::function<void()>) {}  // NOLINT
+  /// Closes the connection and drops the bytes that the caller has not taken;
+  /// allowed after the answer's end too. No callback follows.
+  virtual void Discard() { Abort(); }
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -97,6 +97,9 @@
   virtual ~TargetCall() = default;
   /// Pauses or resumes reading, to bound the memory used for a slow caller.
   virtual void SetPaused(bool is_paused) = 0;
+  /// Bytes that have arrived and were not read, in the kernel too. May cost a
+  /// system call.
+  virtual ByteCount GetUnreadBytes() const { return ByteCount(0); }
 };
 
 /// Sends forwarded calls to targets. Callbacks never run inside the call.
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -39,7 +39,7 @@
   explicit FakeTargetCall(std::shared_ptr<TargetSend> send)
       : send_(std::move(send)) {}
   ~FakeTargetCall() override { send_->observer = nullptr; }
-  void SetPaused(bool) override {}
+  void SetPaused(bool is_paused) override { send_->is_paused = is_paused; }
 
  private:
   std::shared_ptr<TargetSend> send_;
@@ -132,14 +132,14 @@
   pending_answers.push_back([callback = std::move(callback)] { callback({}); });
 }
 
-ForwardingHarness::ForwardingHarness()
+ForwardingHarness::ForwardingHarness(std::optional<ByteCount> memory_limit)
     : log(clock,
           [this](std::string_view bytes) {
             log_text += bytes;
             return bytes.size();
           }),
       forwarder(Forwarder::Create(
-          {InstanceId("entry-1"), FailureDomain("a"), {0.2, 100}},
+          {InstanceId("entry-1"), FailureDomain("a"), {0.2, 100}, memory_limit},
           {clock, random, targets, log})) {
   forwarder->SetWorkListener(
       [this](const WorkNote& note) { notes.push_back(note); });
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -37,6 +37,7 @@
   std::optional<ForwardCall> relayed_call;
   /// Null once the forwarder has closed the connection.
   TargetObserver* observer = nullptr;
+  bool is_paused = false;
 };
 
 /// Records attempts, checks and reservations. Tests act as the targets.
@@ -84,7 +85,8 @@
 /// non-idempotent requests. The test acts as the targets.
 class ForwardingHarness {
  public:
-  ForwardingHarness();
+  explicit ForwardingHarness(
+      std::optional<ByteCount> memory_limit = std::nullopt);
 
   void AddEngines(int count);
   /// Lists targets of a service without a timing model.
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -63,5 +63,25 @@
   CHECK(missing.error().detail.find("no/such/file") != std::string::npos);
 }
 
+// Guards against an entry that does not start with, or ignores, its limit.
+TEST_CASE("the memory limit is optional, and absurd ones are errors") {
+  const auto parse = [](const json& value) {
+    json document = Document();
+    document["limits"]["memory_mb"] = value;
+    return ParseSettings(document.dump());
+  };
+  REQUIRE(ParseSettings(Document().dump()));
+  CHECK_FALSE(ParseSettings(Document().dump())->memory_limit);
+  CHECK(parse(160)->memory_limit == ByteCount(160'000'000));
+  CHECK(parse(0.5)->memory_limit == ByteCount(500'000));
+  CHECK_FALSE(parse(0)->memory_limit);
+  CHECK_FALSE(parse(nullptr)->memory_limit);
+  for (const json& it : {json(-1), json(1e300), json("160"), json::array()}) {
+    const Result<Settings> settings = parse(it);
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().detail.find("memory_mb") != std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace kingcupdrift::platform
