Abort only answers that wait in the process for an idle caller

A caller that had read everything for more than 5 s counted as unread at the first check after the next write, and an answer of which only the kernel still held bytes could be aborted, which frees little. A caller with nothing left to read now counts as making progress, and only answers with unsent bytes of their own may be aborted.

--- a/src/kingcupdrift/forwarding/internal/buffer_budget.cc
+++ b/src/kingcupdrift/forwarding/internal/buffer_budget.cc
@@ -178,7 +178,7 @@
     it->UpdateHeld();
     const ByteCount undelivered = it->owner_.GetUndeliveredBytes();
     if (!is_consecutive || it->check_ != previous ||
-        undelivered < it->undelivered_) {
+        undelivered < it->undelivered_ || undelivered == ByteCount(0)) {
       it->last_progress_ = now;
     }
     it->undelivered_ = undelivered;
@@ -204,7 +204,7 @@
 }
 
 bool BufferBudget::MayAbort(const BufferAccount& account) const {
-  return account.total() > ByteCount(0) &&
+  return account.held_ > ByteCount(0) &&
          clock_.Now() - account.last_progress_ >= kUnreadTime;
 }
 
--- a/tests/forwarding/buffer_budget_test.cc
+++ b/tests/forwarding/buffer_budget_test.cc
@@ -185,6 +185,20 @@
   CHECK(f.yielded.size() == 1);
 }
 
+// Guards against aborts of callers that had nothing to read.
+TEST_CASE("a caller that had read everything is not taken for unread") {
+  Fixture f;
+  BufferCharge bodies(f.budget);
+  bodies.Set(f.budget.abort_mark());
+  Owner& owner = f.Add(0);
+  f.clock.Advance(seconds(60));
+  owner.Write(200'000);
+  f.clock.Advance(BufferBudget::kUnreadTime - milliseconds(400));
+  CHECK(f.yielded.empty());
+  f.clock.Advance(seconds(1));
+  CHECK(f.yielded.size() == 1);
+}
+
 // Guards against memory that the kernel holds and no account covers.
 TEST_CASE("what the kernel holds counts while engines are paused") {
   Fixture f;
