Merge the bound on memory held for slow readers

Cause: each stream could hold 256,000 bytes for a slow caller, without a bound over all connections.

--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -26,6 +26,9 @@
   RetryBudgetSettings budget;
   /// Absent: the rate of requests to cold engines is not limited.
   std::optional<ColdBound> cold_bound = std::nullopt;
+  /// Memory that this process may use; bounds what is held for callers and
+  /// engines that read slowly. Absent without a limit.
+  std::optional<ByteCount> memory_limit = std::nullopt;
 };
 
 /// All of them outlive the forwarder.
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -24,7 +24,7 @@
 
 ForwarderSettings ForwarderSettingsOf(const GatewaySettings& settings) {
   return {settings.own.id, settings.own.failure_domain, settings.budget,
-          settings.cold_bound};
+          settings.cold_bound, settings.memory_limit};
 }
 
 class GatewayImpl : public Gateway, public PeerStateObserver {
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -22,6 +22,8 @@
   RetryBudgetSettings budget;
   /// As in `ForwarderSettings`.
   std::optional<ColdBound> cold_bound = std::nullopt;
+  /// Memory that this process may use; absent without a limit.
+  std::optional<ByteCount> memory_limit = std::nullopt;
 };
 
 /// All of them outlive the gateway.
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -44,6 +44,8 @@
   add_gauge("kingcupdrift_requests_quarantined", requests);
   add_gauge("kingcupdrift_engines_in_reach",
             context.reachability.is_cut_off() ? 0 : 1);
+  add_gauge("kingcupdrift_bytes_held",
+            static_cast<std::size_t>(context.buffers.held().value()));
   const auto add_counter = [&out](const std::string& name,
                                   std::uint64_t value) {
     out += "# TYPE " + name + " counter\n" + name + " " +
@@ -54,6 +56,9 @@
   add_counter("kingcupdrift_promoted_starts_total",
               context.queue.promoted_starts());
   add_counter("kingcupdrift_refused_early_total", context.refused_early);
+  add_counter("kingcupdrift_buffer_pauses_total", context.buffers.pauses());
+  add_counter("kingcupdrift_buffer_aborts_total", context.buffers.aborts());
+  add_counter("kingcupdrift_buffer_refusals_total", context.buffer_refusals);
   add_counter("kingcupdrift_requests_relayed_total", context.relayed_requests);
   add_counter("kingcupdrift_engines_found_down_total",
               context.engines_found_down);
--- a/tests/forwarding/forwarding_harness.h
+++ b/tests/forwarding/forwarding_harness.h
@@ -38,6 +38,7 @@
   /// Null once the forwarder has closed the connection.
   TargetObserver* observer = nullptr;
   std::optional<int> priority = std::nullopt;
+  bool is_paused = false;
 };
 
 /// Records attempts, checks and reservations. Tests act as the targets.
@@ -85,7 +86,8 @@
 /// non-idempotent requests. The test acts as the targets.
 class ForwardingHarness {
  public:
-  ForwardingHarness();
+  explicit ForwardingHarness(
+      std::optional<ByteCount> memory_limit = std::nullopt);
 
   void AddEngines(int count);
   /// Lists targets of a service without a timing model.
