Use priorities only at services whose requests differ in them

Cause: ageing and holds of the wait queue applied to all services once any two routes had different priorities. Change: whether priorities differ is decided for each service.

--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -204,7 +204,7 @@
   info.workspace = workspace_;
   info.priority = FindPriority(table_->config(), *route_, workspace_)
                       .value_or(kDefaultPriority);
-  info.uses_priority = table_->has_differing_priorities();
+  info.uses_priority = table_->HasPriorities(service_);
   info.arrival = arrival_;
   info.max_wait = deadline_ - arrival_;
   info.target_latency = route_->target_latency;
--- a/src/kingcupdrift/forwarding/internal/forward_request_send.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_send.cc
@@ -140,7 +140,7 @@
   TargetRequest request;
   request.call = &call_;
   request.workspace = workspace_;
-  if (call_.prompt && table_->has_differing_priorities()) {
+  if (call_.prompt && table_->HasPriorities(service_)) {
     request.priority = FindPriority(table_->config(), *route_, workspace_);
   }
   request.time_left = TimeLeft();
--- a/src/kingcupdrift/forwarding/request_priority.cc
+++ b/src/kingcupdrift/forwarding/request_priority.cc
@@ -12,7 +12,8 @@
   return it != config.workspace_priorities.end() ? it->second : route.priority;
 }
 
-bool HasDifferingPriorities(const ServingConfig& config) {
+bool HasDifferingPriorities(const ServingConfig& config,
+                            const ServiceId& service) {
   std::set<int> priorities;
   for (const auto& [workspace, priority] : config.workspace_priorities) {
     priorities.insert(priority);
@@ -23,6 +24,14 @@
                     return !config.workspace_priorities.contains(it.second);
                   });
   for (const RouteRule& it : config.routes) {
+    const bool leads_to_service =
+        std::any_of(it.shares.begin(), it.shares.end(),
+                    [&service](const ServiceShare& share) {
+                      return share.service == service;
+                    });
+    if (!leads_to_service) {
+      continue;
+    }
     if (has_workspace_without_priority || !config.needs_key ||
         it.allows_anonymous) {
       priorities.insert(it.priority.value_or(kDefaultPriority));
--- a/src/kingcupdrift/forwarding/request_priority.h
+++ b/src/kingcupdrift/forwarding/request_priority.h
@@ -18,9 +18,10 @@
                                 const RouteRule& route,
                                 const WorkspaceId& workspace);
 
-/// Returns whether two requests under `config` can have different priorities,
-/// where an absent one counts as `kDefaultPriority`.
-bool HasDifferingPriorities(const ServingConfig& config);
+/// Returns whether two requests for `service` can have different priorities
+/// under `config`, where an absent one counts as `kDefaultPriority`.
+bool HasDifferingPriorities(const ServingConfig& config,
+                            const ServiceId& service);
 
 }  // namespace kingcupdrift
 
--- a/src/kingcupdrift/forwarding/route_table.cc
+++ b/src/kingcupdrift/forwarding/route_table.cc
@@ -7,9 +7,12 @@
 
 namespace kingcupdrift {
 
-RouteTable::RouteTable(ServingConfig config)
-    : config_(std::move(config)),
-      has_differing_priorities_(HasDifferingPriorities(config_)) {
+RouteTable::RouteTable(ServingConfig config) : config_(std::move(config)) {
+  for (const auto& [service, spec] : config_.services) {
+    if (HasDifferingPriorities(config_, service)) {
+      services_with_priorities_.insert(service);
+    }
+  }
   for (std::size_t i = 0; i < config_.routes.size(); ++i) {
     const RouteRule& route = config_.routes[i];
     by_host_[route.host][route.prefix] = i;
--- a/src/kingcupdrift/forwarding/route_table.h
+++ b/src/kingcupdrift/forwarding/route_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -17,8 +18,11 @@
   explicit RouteTable(ServingConfig config);
 
   const ServingConfig& config() const { return config_; }
-  /// Requests can have different priorities; see `HasDifferingPriorities`.
-  bool has_differing_priorities() const { return has_differing_priorities_; }
+  /// Requests for the service can have different priorities; see
+  /// `HasDifferingPriorities`.
+  bool HasPriorities(const ServiceId& service) const {
+    return services_with_priorities_.contains(service);
+  }
 
   /// The route of `host` with the longest prefix of the path in
   /// `path_and_query`. Prefixes match whole segments and end with a slash: the
@@ -32,7 +36,7 @@
 
  private:
   ServingConfig config_;
-  bool has_differing_priorities_ = false;
+  std::set<ServiceId> services_with_priorities_;
   // Host to prefix to position in `config_.routes`.
   std::map<std::string, std::map<std::string, std::size_t, std::less<>>>
       by_host_;
--- a/tests/platform/platform_state_decoder_test.cc
+++ b/tests/platform/platform_state_decoder_test.cc
@@ -113,7 +113,7 @@
   CHECK(FindPriority(*config, route, WorkspaceId("v")) == 3);
   CHECK(FindPriority(*config, route, WorkspaceId("u")) == 3);
   CHECK(FindPriority(*config, route, WorkspaceId()) == 3);
-  CHECK(HasDifferingPriorities(*config));
+  CHECK(HasDifferingPriorities(*config, ServiceId("s")));
 }
 
 // Negative test: nothing changes on the wire without differing priorities.
@@ -121,7 +121,8 @@
   json document = Config();
   document["routes"].push_back(Route());
   const auto differs = [&document] {
-    return HasDifferingPriorities(*kDecoder.DecodeConfig(document.dump()));
+    return HasDifferingPriorities(*kDecoder.DecodeConfig(document.dump()),
+                                  ServiceId("s"));
   };
   CHECK_FALSE(differs());
   document["routes"][0]["priority"] = kDefaultPriority;
@@ -137,6 +138,21 @@
   CHECK(differs());
 }
 
+// Guards against ageing and holds at a service whose requests all have one
+// priority, because another service's requests have another one.
+TEST_CASE("priorities of another service's requests make no difference") {
+  json document = Config();
+  document["routes"][0]["priority"] = 1;
+  json other = Route();
+  other["priority"] = 2;
+  other.erase("traffic_split");
+  other["service"] = "other";
+  document["routes"].push_back(other);
+  const ServingConfig config = *kDecoder.DecodeConfig(document.dump());
+  CHECK_FALSE(HasDifferingPriorities(config, ServiceId("s")));
+  CHECK_FALSE(HasDifferingPriorities(config, ServiceId("other")));
+}
+
 TEST_CASE("only routes of kind safe and resumable streams may be retried") {
   const auto retry_safety_of = [](const char* kind, bool resumes) {
     json config = Config();
