--- a/tests/routing/slot_wait_test.cc
+++ b/tests/routing/slot_wait_test.cc
@@ -43,6 +43,7 @@
   constexpr int kEngines = 78;
   const PromptPlacer placer(MakeTiming());
   std::vector<EngineView> engines;
+  engines.reserve(kEngines);
   for (int i = 0; i < kEngines; ++i) {
     engines.push_back({EngineId(std::to_string(i)), EngineLoad()});
   }
@@ -76,6 +77,7 @@
 TEST_CASE("few short prompts still share few engines") {
   const PromptPlacer placer(MakeTiming());
   std::vector<EngineView> engines;
+  engines.reserve(78);
   for (int i = 0; i < 78; ++i) {
     engines.push_back({EngineId(std::to_string(i)), EngineLoad()});
   }
