--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -184,7 +184,13 @@
     StoreStateReplyMessage state =
         changes ? *std::move(changes) : mirror_.StateAfter(request.position);
     const std::size_t bytes = CountValueBytes(state);
-    if (!copy_budget_.TryTake(bytes)) {
+    const bool is_sent = copy_budget_.TryTake(bytes);
+    deps_.log.Add("gateway", "store_copy")
+        .Text("answer",
+              is_sent ? (state.changes_after ? "changes" : "copy") : "withheld")
+        .Number("after", request.position.version.value())
+        .Number("bytes", static_cast<std::int64_t>(bytes));
+    if (!is_sent) {
       ++metrics_.copies_withheld;
       return mirror_.MakeChangeNotice();
     }
@@ -203,8 +209,11 @@
     if (!changes) {
       return mirror_.MakeChangeNotice();
     }
-    if (CountValueBytes(*changes) * peer_exchange_.CountEntries() >
-        kMaxPassedOnBytes) {
+    const std::size_t bytes = CountValueBytes(*changes);
+    if (bytes * peer_exchange_.CountEntries() > kMaxPassedOnBytes) {
+      deps_.log.Add("gateway", "store_notice")
+          .Number("version", mirror_.version().value())
+          .Number("bytes", static_cast<std::int64_t>(bytes));
       return mirror_.MakeChangeNotice();
     }
     return changes;
@@ -317,6 +326,7 @@
           "use.");
       return;
     }
+    const MonotonicTime began = deps_.clock.Now();
     Result<ServingConfig> config =
         deps_.decoder.DecodeConfig(event.value->value);
     if (!config) {
@@ -327,7 +337,9 @@
     deps_.log.Add("gateway", "config_received")
         .Number("version", config->version.value())
         .Number("store_version", event.position.version.value())
-        .Text("source", GetSourceName(event.source));
+        .Text("source", GetSourceName(event.source))
+        .Number("bytes", static_cast<std::int64_t>(event.value->value.size()))
+        .Milliseconds("decoding", deps_.clock.Now() - began);
     forwarder_->ApplyConfig(*std::move(config));
     if (limits_listener_) {
       limits_listener_(forwarder_->config()->limits);
--- a/src/kingcupdrift/net/event_loop.cc
+++ b/src/kingcupdrift/net/event_loop.cc
@@ -16,6 +16,10 @@
 
 const Logger kLog("loop");
 
+/// On an entry with an eighth of a core, an iteration of this length delays
+/// heartbeats, timers and answers by 160 ms.
+constexpr Duration kLongIterationTime = std::chrono::milliseconds(20);
+
 Duration GetThreadCpuTime() {
   timespec now{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
@@ -99,6 +103,10 @@
   event_base_loop(impl_->base.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
   const Duration used = GetThreadCpuTime() - before;
   impl_->max_iteration_cpu_time = std::max(impl_->max_iteration_cpu_time, used);
+  if (used >= kLongIterationTime) {
+    kLog.Info("One iteration of the event loop took {} ms of processor time.",
+              used / std::chrono::milliseconds(1));
+  }
 }
 
 void EventLoop::Run() {
--- a/src/kingcupdrift/store/store_mirror.cc
+++ b/src/kingcupdrift/store/store_mirror.cc
@@ -74,6 +74,7 @@
 
 void StoreMirror::List() {
   is_listing_ = true;
+  listing_began_at_ = clock_.Now();
   const std::weak_ptr<bool> alive = lifetime_token_;
   store_.List(prefix_, [this, alive](Result<StoreListing> listing) {
     if (!alive.expired()) {
@@ -98,6 +99,7 @@
 
 void StoreMirror::OnListing(Result<StoreListing> listing) {
   is_listing_ = false;
+  LogListing(listing);
   if (!listing) {
     was_outage_ = true;
     RetryLater(listing.error());
@@ -138,6 +140,26 @@
   }
 }
 
+void StoreMirror::LogListing(const Result<StoreListing>& listing) const {
+  const std::int64_t ms =
+      (clock_.Now() - listing_began_at_) / std::chrono::milliseconds(1);
+  if (!listing) {
+    kLog.Info("A listing of the store failed after {} ms: {}; {}.", ms,
+              listing.error().detail,
+              is_reading_ ? "it is repeated" : "it is not repeated");
+    return;
+  }
+  std::size_t bytes = 0;
+  for (const StoreEntry& it : listing->entries) {
+    bytes += it.value.value.size();
+  }
+  kLog.Info(
+      "Listed the store in {} ms: version {}, {} keys with {} bytes; the local "
+      "copy has version {}.",
+      ms, listing->version.value(), listing->entries.size(), bytes,
+      position_.version.value());
+}
+
 std::string StoreMirror::MakeEraMismatchText(StoreEra era) const {
   return "the answer has era " + std::to_string(era.value()) +
          ", and the local copy era " + std::to_string(position_.era.value());
--- a/src/kingcupdrift/store/store_mirror.h
+++ b/src/kingcupdrift/store/store_mirror.h
@@ -146,6 +146,7 @@
 
   void List();
   void OnListing(Result<StoreListing> listing);
+  void LogListing(const Result<StoreListing>& listing) const;
   void ReplaceAll(const StoreListing& listing, MirrorSource source);
   void Watch();
   void OnEvent(Result<StoreEvent> event);
@@ -198,6 +199,7 @@
   bool is_store_reachable_ = false;
   bool needs_listing_ = true;
   bool is_listing_ = false;
+  MonotonicTime listing_began_at_{};
   bool is_listing_outdated_ = false;
   MonotonicTime settled_at_{};
   Duration backoff_{0};
