Bound values that another writer put into the store

One odd entry among those of the engines could end every process that read the list: a list nested 100,000 deep in cold_remaining_ms was written into a warning by a recursive function. An item whose value was not base64, or that had no readable key, made the whole listing fail, again and again, and with it the watch.  slots counted as 1, and a `born` of 2^64-1 as -1; times were converted without a bound, with results that differ between processors.

The class is a value of another writer that is used before it is bounded. Integers, times and names have ranges, warnings do not repeat values, and an item that can't be read costs only that item. Two cases of platform_state_decoder_test (the first one ended the process) and "an item that can't be read costs no other item" failed before.

A watch's answer reports only the last value of a key.

--- a/tests/platform/cold_fields_test.cc
+++ b/tests/platform/cold_fields_test.cc
@@ -95,8 +95,11 @@
 }
 
 TEST_CASE("the bound for cold engines needs both of its figures") {
-  const auto bound =
-      DecodeColdBound({{"cold_overshoot", 1.5}, {"cold_slack", 5}});
+  const auto decode = [](const json& bounds) {
+    const JsonDocument document(bounds.dump());
+    return DecodeColdBound(FieldReader(document.root(), "bounds"));
+  };
+  const auto bound = decode({{"cold_overshoot", 1.5}, {"cold_slack", 5}});
   REQUIRE(bound);
   CHECK(bound->overshoot == 1.5);
   CHECK(bound->slack == 5);
@@ -107,7 +110,7 @@
         json{{"cold_overshoot", 1.5}, {"cold_slack", -5}},
         json{{"cold_overshoot", "1.5"}, {"cold_slack", 5}}}) {
     CAPTURE(it.dump());
-    CHECK_FALSE(DecodeColdBound(it));
+    CHECK_FALSE(decode(it));
   }
 }
 
--- a/tests/platform/platform_state_decoder_test.cc
+++ b/tests/platform/platform_state_decoder_test.cc
@@ -210,6 +210,67 @@
   CHECK_FALSE(kDecoder.DecodeTarget("servers/i-1", "\xff\xfe"));
 }
 
+// Guards against a record of another writer that ends the process or is used
+// with a value beyond its range: nested deeper than the stack bears, a number
+// that does not fit its type, a port out of range, or a name of any length.
+TEST_CASE("a record with a value out of bounds names no engine") {
+  const std::string rest = R"("zone":"a","state":"ready")";
+  const auto decode = [&rest](const std::string& service,
+                              const std::string& address,
+                              const std::string& others) {
+    return kDecoder.DecodeTarget(
+        "servers/i-1", R"({"service":")" + service + R"(","address":")" +
+                           address + "\"," + others + "," + rest + "}");
+  };
+  const std::string address = "10.1.0.1:80";
+  REQUIRE(decode("s", address, R"("slots":16)"));
+  constexpr std::size_t kDepth = 300'000;
+  for (const char* const key : {"cold_remaining_ms", "born", "other"}) {
+    for (const auto& [open, close] :
+         {std::pair(std::string("["), std::string("]")),
+          std::pair(std::string(R"({"a":)"), std::string("}"))}) {
+      CAPTURE(key);
+      std::string nested;
+      for (std::size_t i = 0; i < kDepth; ++i) {
+        nested += open;
+      }
+      nested += "1";
+      for (std::size_t i = 0; i < kDepth; ++i) {
+        nested += close;
+      }
+      CHECK_FALSE(decode(
+          "s", address, R"("slots":16,")" + std::string(key) + "\":" + nested));
+      CHECK_FALSE(kDecoder.DecodeTarget("servers/i-1", nested));
+    }
+  }
+  for (const char* const others :
+       {R"("slots":4294967297)", R"("slots":2147483647)", R"("slots":-1)",
+        R"("slots":1e400)", R"("slots":16,"born":18446744073709551615)",
+        R"("slots":16,"born":1e400)",
+        R"("slots":16,"cold_remaining_ms":1e400)"}) {
+    CAPTURE(others);
+    CHECK_FALSE(decode("s", address, others));
+  }
+  for (const char* const it :
+       {"10.1.0.1:65536", "10.1.0.1:99999", "10.1.0.1:0", "10.1.0.1:-80",
+        "10.1.0.1:18446744073709551617", "10.1.0.1"}) {
+    CAPTURE(it);
+    CHECK_FALSE(decode("s", it, R"("slots":16)"));
+  }
+  CHECK_FALSE(decode(std::string(100'000, 's'), address, R"("slots":16)"));
+}
+
+// Guards against times that overflow when they are converted, with a result
+// that differs between processors.
+TEST_CASE("a configuration with a time out of range is not valid") {
+  for (const json& it : {json(-1), json(1e300), json(1e18)}) {
+    CAPTURE(it.dump());
+    json config = Config();
+    config["routes"][0]["timeout_ms"] = it;
+    CHECK_FALSE(kDecoder.DecodeConfig(config.dump()));
+  }
+}
+
 TEST_CASE("keys are classified by their prefix") {
   CHECK(kDecoder.ClassifyKey("op/config") == ItemKind::kConfig);
   CHECK(kDecoder.ClassifyKey("op/other") == ItemKind::kOther);
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -88,6 +88,74 @@
   CHECK(fake_store.calls[1].find("after=12&wait_ms=700 ") != std::string::npos);
 }
 
+// Guards against one item that can't be read and keeps the whole list, or the
+// watch after it, from being followed.
+TEST_CASE("an item that can't be read costs no other item") {
+  const json no_base64 = {{"key", "b"}, {"value", "%"}, {"revision", 12}};
+  const json no_key = {{"key", 7}, {"value", "dg=="}, {"revision", 12}};
+  const json no_object = json::array({1});
+  FakeStoreServer fake_store;
+  fake_store.answers = {
+      {200,
+       {{"items", {Item("a", 3), no_base64, no_key, no_object, Item("c", 4)}},
+        {"has_more", true},
+        {"at", 12}}},
+      {200,
+       {{"items", {Item("d", 5), no_base64}},
+        {"has_more", false},
+        {"at", 12}}}};
+  std::optional<Result<StoreListing>> listing;
+  fake_store.store->List("", [&](auto result) { listing = std::move(result); });
+  fake_store.Await([&] { return listing.has_value(); });
+  REQUIRE(listing->has_value());
+  REQUIRE((*listing)->entries.size() == 3);
+  CHECK((*listing)->entries[1].key == "c");
+  CHECK((*listing)->entries[2].key == "d");
+
+  fake_store.answers = {
+      {200,
+       {{"events",
+         {Item("a", 11), no_base64, no_key, no_object, Item("c", 13)}},
+        {"at", 13}}}};
+  std::vector<StoreEvent> events;
+  const auto watch = fake_store.store->Watch(
+      "", StoreVersion(10), [&](const Result<StoreEvent>& event) {
+        REQUIRE(event.has_value());
+        events.push_back(*event);
+      });
+  fake_store.Await([&] { return events.size() == 4; });
+  CHECK(events[0].key == "a");
+  // Whatever the key held before is not in use any more.
+  CHECK(events[1].key == "b");
+  CHECK_FALSE(events[1].value);
+  CHECK(events[2].key == "c");
+  CHECK(events[2].value);
+}
+
+// Guards against work for versions of a large value that are already replaced.
+TEST_CASE("a watch reports only the last value of a key in one answer") {
+  FakeStoreServer fake_store;
+  const json deleted = {{"key", "b"}, {"revision", 14}, {"deleted", true}};
+  fake_store.answers = {{200,
+                         {{"events",
+                           {Item("a", 11), Item("a", 12), Item("b", 13),
+                            deleted, Item("b", 15), Item("a", 16)}},
+                          {"at", 16}}}};
+  std::vector<StoreEvent> events;
+  const auto watch = fake_store.store->Watch(
+      "", StoreVersion(10), [&](const Result<StoreEvent>& event) {
+        REQUIRE(event.has_value());
+        events.push_back(*event);
+      });
+  fake_store.Await([&] { return fake_store.calls.size() == 2; });
+  REQUIRE(events.size() == 5);
+  CHECK(events[0].version == StoreVersion(13));
+  // A deletion may mean that a process ended, and is never left out.
+  CHECK_FALSE(events[1].value);
+  CHECK(events[2].version == StoreVersion(15));
+  CHECK(events[3].version == StoreVersion(16));
+}
+
 TEST_CASE("a watch fails with kNotFound if the store dropped its history") {
   FakeStoreServer fake_store;
   fake_store.answers = {{410, json::object()}};
