Pass large configurations on as patches, and small changes before them

Callers got 401 and 404 by configurations that were replaced over three seconds before (CONFIG), and requests reached targets that had said that they leave (DRAIN), at entries that were in touch all the while.

CONFIG: each version of a configuration with 1,400 routes was read from the store and decoded in full by each of 89 entries, up to three times a second. On 0.12 of a core decoding alone took 50 to 115 ms and single iterations of the event loop up to 471 ms; a reader of that size spent more than its share, and its listings failed after 1.6 s, five times in a row. The class is work without a bound on a processor that also has deadlines.

DRAIN: a change before which another one is missing was discarded. While the configuration was late, records of targets that leave were late too, and each of them caused one more request for the whole contents: 590 of 687 such requests got only a notice, which caused one more listing. The class is head-of-line blocking. Now such changes are applied at once, the missing ones later; a change that is too large for a message is left out alone; and what is on its way is not asked for again.

Earlier builds see a message with patches as a notice and list the store.

"large configurations in quick succession delay no busy entry" failed at 6, 24, 89 and 195 entries, and "a removed target is known although configurations are withheld" at 24, 89 and 195. The first plays a paused clock that charges each entry its processor time and each message its link.

--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -4,9 +4,10 @@
 #include <chrono>
 #include <utility>
 
-#include "kingcupdrift/forwarding/internal/copy_budget.h"
+#include "kingcupdrift/forwarding/internal/config_applier.h"
 #include "kingcupdrift/forwarding/internal/gateway_metrics.h"
 #include "kingcupdrift/forwarding/internal/quarantine_records.h"
+#include "kingcupdrift/forwarding/internal/store_sharing.h"
 #include "kingcupdrift/store/store.h"
 
 namespace kingcupdrift {
@@ -20,10 +21,6 @@
 constexpr std::string_view kAllKeys;
 
 constexpr double kRateAveragingSeconds = 2;
-/// Most bytes of one change that an entry sends to all others together: 0.2 s
-/// of a link of 20 Mbit/s. The others read a larger change from the store.
-constexpr std::size_t kMaxPassedOnBytes = 500'000;
-
 ForwarderSettings ForwarderSettingsOf(const GatewaySettings& settings) {
   return {settings.own.id, settings.own.failure_domain, settings.budget,
           settings.cold_bound, settings.memory_limit};
@@ -47,8 +44,15 @@
                    deps.random,
                    std::string(kEntryPrefix),
                    EncodeEntryRecord(settings.own)),
+        config_applier_(
+            deps.clock,
+            deps.decoder,
+            deps.log,
+            [this](ServingConfig config) { ApplyConfig(std::move(config)); }),
         quarantine_records_(deps.store, deps.clock),
-        election_(deps.clock, settings.own.id, settings.own.failure_domain) {
+        election_(deps.clock,
+                  {settings.own.id, settings.own.failure_domain, false,
+                   settings.own.cores}) {
     // The election decides; before it only the first listing is needed.
     mirror_.SetReading(false, false);
     forwarder_->SetWorkListener(
@@ -117,6 +121,7 @@
 
   std::string GetMetricsText() const override {
     GatewayMetrics metrics = metrics_;
+    store_sharing_.ReportTo(metrics);
     metrics.entries = peer_exchange_.CountEntries();
     metrics.store_position = mirror_.position();
     metrics.is_store_reader = mirror_.IsStoreReachable();
@@ -177,46 +182,14 @@
 
   StoreStateReplyMessage StateAfter(
       const StoreStateRequestMessage& request) override {
-    std::optional<StoreStateReplyMessage> changes;
-    if (request.accepts_changes) {
-      changes = mirror_.ChangesAfter(request.position);
-    }
-    StoreStateReplyMessage state =
-        changes ? *std::move(changes) : mirror_.StateAfter(request.position);
-    const std::size_t bytes = CountValueBytes(state);
-    const bool is_sent = copy_budget_.TryTake(bytes);
-    deps_.log.Add("gateway", "store_copy")
-        .Text("answer",
-              is_sent ? (state.changes_after ? "changes" : "copy") : "withheld")
-        .Number("after", request.position.version.value())
-        .Number("bytes", static_cast<std::int64_t>(bytes));
-    if (!is_sent) {
-      ++metrics_.copies_withheld;
-      return mirror_.MakeChangeNotice();
-    }
-    ++metrics_.copies_sent;
-    metrics_.copy_bytes_sent += bytes;
-    return state;
+    return store_sharing_.AnswerPeer(request);
   }
 
   std::optional<StoreStateReplyMessage> TakeStoreChanges() override {
-    if (!election_.is_first_reader() || passed_on_ == mirror_.position()) {
+    if (!election_.is_first_reader() || !store_sharing_.HasNewChanges()) {
       return std::nullopt;
     }
-    const StorePosition before = std::exchange(passed_on_, mirror_.position());
-    std::optional<StoreStateReplyMessage> changes =
-        mirror_.ChangesAfter(before);
-    if (!changes) {
-      return mirror_.MakeChangeNotice();
-    }
-    const std::size_t bytes = CountValueBytes(*changes);
-    if (bytes * peer_exchange_.CountEntries() > kMaxPassedOnBytes) {
-      deps_.log.Add("gateway", "store_notice")
-          .Number("version", mirror_.version().value())
-          .Number("bytes", static_cast<std::int64_t>(bytes));
-      return mirror_.MakeChangeNotice();
-    }
-    return changes;
+    return store_sharing_.TakeChanges(peer_exchange_.CountEntries());
   }
 
   void OnPeersChecked(const std::vector<ReaderCandidate>& recent,
@@ -227,7 +200,7 @@
     forwarder_->SetSendingEntries(peer_exchange_.ListSendingEntries());
     forwarder_->SetRelayPeers(peer_exchange_.ListRelayPeers());
     election_.Update(recent, mirror_.IsStoreReachable(), is_serving);
-    if (election_.is_first_reader() && passed_on_ != mirror_.position()) {
+    if (election_.is_first_reader() && store_sharing_.HasNewChanges()) {
       peer_exchange_.BroadcastStoreChanges();
     }
     // An entry that reaches no engine can't refute what it believes of them.
@@ -245,7 +218,7 @@
         .Number("version", mirror_.version().value());
   }
 
-  bool OnState(const StoreStateReplyMessage& state) override {
+  PeerStateResult OnState(const StoreStateReplyMessage& state) override {
     return mirror_.ApplyPeerState(state);
   }
 
@@ -326,21 +299,11 @@
           "use.");
       return;
     }
-    const MonotonicTime began = deps_.clock.Now();
-    Result<ServingConfig> config =
-        deps_.decoder.DecodeConfig(event.value->value);
-    if (!config) {
-      kLog.Error("The configuration in the store is not valid: {}.",
-                 config.error().detail);
-      return;
-    }
-    deps_.log.Add("gateway", "config_received")
-        .Number("version", config->version.value())
-        .Number("store_version", event.position.version.value())
-        .Text("source", GetSourceName(event.source))
-        .Number("bytes", static_cast<std::int64_t>(event.value->value.size()))
-        .Milliseconds("decoding", deps_.clock.Now() - began);
-    forwarder_->ApplyConfig(*std::move(config));
+    config_applier_.Update(event);
+  }
+
+  void ApplyConfig(ServingConfig config) {
+    forwarder_->ApplyConfig(std::move(config));
     if (limits_listener_) {
       limits_listener_(forwarder_->config()->limits);
     }
@@ -384,16 +347,15 @@
   std::unique_ptr<Forwarder> forwarder_;
   PeerStateExchange peer_exchange_;
   StoreMirror mirror_;
+  StoreSharing store_sharing_{deps_.clock, mirror_, deps_.log};
   LeasedKey entry_key_;
+  ConfigApplier config_applier_;
   QuarantineRecords quarantine_records_;
   ReaderElection election_;
-  // Position up to which this entry has passed changes on to its peers.
-  StorePosition passed_on_;
   double requests_per_second_ = 0;
   double requests_since_update_ = 0;
   MonotonicTime rate_updated_at_{};
   bool is_draining_ = false;
-  CopyBudget copy_budget_{deps_.clock};
   GatewayMetrics metrics_;
   std::function<void(const CallerLimits&)> limits_listener_;
 };
--- a/src/kingcupdrift/forwarding/internal/copy_budget.h
+++ b/src/kingcupdrift/forwarding/internal/copy_budget.h
@@ -10,12 +10,15 @@
 
 namespace kingcupdrift {
 
-/// Size of the values in an answer to a peer.
+/// Size of the values and patches in an answer to a peer.
 inline std::size_t CountValueBytes(const StoreStateReplyMessage& state) {
   std::size_t bytes = 0;
   for (const StoreStateItem& it : state.items) {
     bytes += it.value ? it.value->size() : 0;
   }
+  for (const StoreStatePatch& it : state.patches) {
+    bytes += it.data.size();
+  }
   return bytes;
 }
 
--- a/src/kingcupdrift/forwarding/peer_state_exchange.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.cc
@@ -274,9 +274,8 @@
     Send(peer->record.peer_endpoint, observer_.StateAfter(*request));
   } else if (const auto* reply =
                  std::get_if<StoreStateReplyMessage>(&message.payload)) {
-    if (!observer_.OnState(*reply)) {
-      RequestStoreState(*peer);
-    }
+    store_request_sent_at_.reset();
+    ApplyStoreState(*peer, *reply);
     CatchUp();
   }
 }
@@ -311,8 +310,8 @@
   peer.store_position = message.store_position;
   peer.is_cut_off = message.is_cut_off;
   peer.requests_per_second = message.requests_per_second;
-  if (message.store_changes && !observer_.OnState(*message.store_changes)) {
-    RequestStoreState(peer);
+  if (message.store_changes) {
+    ApplyStoreState(peer, *message.store_changes);
   }
   if (message.wants_complete) {
     SendCompleteWork(peer);
--- a/src/kingcupdrift/forwarding/peer_state_exchange.h
+++ b/src/kingcupdrift/forwarding/peer_state_exchange.h
@@ -15,6 +15,7 @@
 #include "kingcupdrift/forwarding/relay_peer.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 #include "kingcupdrift/store/reader_election.h"
+#include "kingcupdrift/store/store_mirror.h"
 
 namespace kingcupdrift {
 
@@ -65,9 +66,9 @@
   /// Changes of the store since the last call that this entry has to pass on.
   virtual std::optional<StoreStateReplyMessage> TakeStoreChanges() = 0;
   /// A peer sent contents of the platform's store or, without items, a notice
-  /// that it has newer ones. False if changes before them are missing here, so
-  /// that this entry has to ask for them.
-  virtual bool OnState(const StoreStateReplyMessage& state) = 0;
+  /// that it has newer ones. If the result is not kApplied, this entry has to
+  /// ask for what is missing.
+  virtual PeerStateResult OnState(const StoreStateReplyMessage& state) = 0;
   /// Called at least every `kReaderCheckInterval` with the peers that sent a
   /// message within `kRecentMessageAge`, or were listed or joined the serving
   /// group within that time, and serve. `is_serving`: this entry serves.
@@ -189,6 +190,9 @@
   /// The same while a listing of its own is in progress, which brings contents
   /// that are too large to be passed on.
   static constexpr Duration kOwnListingTime = std::chrono::milliseconds(1200);
+  /// A request without an answer for this long is repeated at another peer.
+  static constexpr Duration kStoreRequestTimeout =
+      std::chrono::milliseconds(300);
   /// Interval at which the serving group and the readers of the store are
   /// determined.
   static constexpr Duration kReaderCheckInterval =
@@ -254,6 +258,11 @@
   }
   void RequestCompleteWork(const Peer& peer);
   void DropUnlistedPeers();
+  /// Hands a peer's state to the observer, and asks the peer for what is
+  /// missing unless that is on its way.
+  void ApplyStoreState(const Peer& peer, const StoreStateReplyMessage& state);
+  /// A request for the store's contents may still be answered.
+  bool IsStoreRequestPending() const;
   void RequestStoreState(const Peer& peer);
   void Send(const Endpoint& peer, PeerPayload payload);
   WorkNotesMessage MakeStateMessage() const;
@@ -287,6 +296,9 @@
   StorePosition behind_position_;
   std::unique_ptr<Timer> catch_up_timer_;
   std::uint64_t store_requests_ = 0;
+  // Time of the last request without an answer.
+  std::optional<MonotonicTime> store_request_sent_at_;
+  bool accepts_patches_ = true;
   std::unique_ptr<Timer> check_timer_;
   bool is_check_due_ = false;
   bool is_serving_ = true;
--- a/src/kingcupdrift/forwarding/peer_state_exchange_group.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange_group.cc
@@ -71,7 +71,8 @@
   std::vector<ReaderCandidate> recent;
   for (const auto& [id, peer] : peers_) {
     if (peer.is_serving && now - peer.last_message_at <= kRecentMessageAge) {
-      recent.push_back({id, peer.record.failure_domain, peer.has_store});
+      recent.push_back(
+          {id, peer.record.failure_domain, peer.has_store, peer.record.cores});
     }
     if (!peer.has_responded && !peer.was_contacted && IsReceiver(peer)) {
       RequestCompleteWork(peer);
--- a/src/kingcupdrift/forwarding/peer_state_exchange_store.cc
+++ b/src/kingcupdrift/forwarding/peer_state_exchange_store.cc
@@ -55,7 +55,7 @@
   } else if (local.has_store) {
     wait = kStoreRequestDelay;
   }
-  if (now - *behind_since_ >= wait) {
+  if (now - *behind_since_ >= wait && !IsStoreRequestPending()) {
     if (const Peer* const peer = ChooseUpToDatePeer()) {
       behind_since_ = now;
       RequestStoreState(*peer);
@@ -88,12 +88,31 @@
                     candidates.size()];
 }
 
+void PeerStateExchange::ApplyStoreState(const Peer& peer,
+                                        const StoreStateReplyMessage& state) {
+  const PeerStateResult result = observer_.OnState(state);
+  accepts_patches_ = result != PeerStateResult::kWrongPatch;
+  // A listing in progress brings what is missing. Asking for it with each
+  // change that arrives meanwhile would cost more than the listing.
+  if (result != PeerStateResult::kApplied && !IsStoreRequestPending() &&
+      !observer_.GetLocalState().is_listing) {
+    RequestStoreState(peer);
+  }
+}
+
+bool PeerStateExchange::IsStoreRequestPending() const {
+  return store_request_sent_at_ &&
+         clock_.Now() - *store_request_sent_at_ < kStoreRequestTimeout;
+}
+
 void PeerStateExchange::RequestStoreState(const Peer& peer) {
   ++store_requests_;
+  store_request_sent_at_ = clock_.Now();
   const StorePosition local = observer_.GetLocalState().store_position;
   kLog.Info("Requesting the store's contents after era {}, version {} of {}.",
             local.era.value(), local.version.value(), peer.record.id.value());
-  Send(peer.record.peer_endpoint, StoreStateRequestMessage{local, true});
+  Send(peer.record.peer_endpoint,
+       StoreStateRequestMessage{local, true, accepts_patches_});
 }
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/interfaces/peer_link.h
+++ b/src/kingcupdrift/interfaces/peer_link.h
@@ -157,13 +157,27 @@
   std::optional<std::string> value;
 };
 
+/// Leads from one version of a large value to a later one, see
+/// `MakeValuePatch`.
+struct StoreStatePatch {
+  std::string key;
+  StoreVersion base;
+  StoreVersion version;
+  std::string data;
+};
+
 /// A peer's whole copy of the store up to `position`, or the changes that lead
 /// to it.
 struct StoreStateReplyMessage {
   StorePosition position;
   std::vector<StoreStateItem> items;
-  /// If present, `items` are the changes after this position.
+  /// If present, `items` and `patches` are the changes after this position.
   std::optional<StorePosition> changes_after = std::nullopt;
+  /// In the order in which they apply. Earlier builds, which do not know
+  /// patches and omissions, take a message with them for a notice of changes.
+  std::vector<StoreStatePatch> patches = {};
+  /// Large changes are left out; the receiver reads them from the store.
+  bool has_omissions = false;
   /// Keys under a lease may be missing although their owners are running.
   bool is_settling = false;
 };
@@ -206,6 +220,8 @@
   StorePosition position;
   /// The answer may list changes only.
   bool accepts_changes = false;
+  /// The answer may have patches.
+  bool accepts_patches = false;
 };
 
 using PeerPayload = std::variant<GossipMessage,
--- a/src/kingcupdrift/net/internal/forwarding_codec.cc
+++ b/src/kingcupdrift/net/internal/forwarding_codec.cc
@@ -115,6 +115,84 @@
   return limits;
 }
 
+using WireItems = flatbuffers::Vector<Offset<wire::StoreStateItem>>;
+
+std::string ToBytes(const flatbuffers::Vector<std::uint8_t>& bytes) {
+  return {bytes.begin(), bytes.end()};
+}
+
+std::vector<StoreStateItem> DecodeStateItems(const WireItems* items) {
+  std::vector<StoreStateItem> out;
+  if (items == nullptr) {
+    return out;
+  }
+  for (const wire::StoreStateItem* const it : *items) {
+    StoreStateItem item;
+    item.key = it->key()->str();
+    item.version = StoreVersion(it->version());
+    if (it->has_value() && it->value() != nullptr) {
+      item.value = ToBytes(*it->value());
+    }
+    out.push_back(std::move(item));
+  }
+  return out;
+}
+
+Offset<WireItems> EncodeStateItems(FlatBufferBuilder& builder,
+                                   const std::vector<StoreStateItem>& list) {
+  std::vector<Offset<wire::StoreStateItem>> items;
+  items.reserve(list.size());
+  for (const StoreStateItem& it : list) {
+    const auto key = builder.CreateString(it.key);
+    const std::string_view value = it.value ? *it.value : std::string_view();
+    const auto bytes = builder.CreateVector(
+        reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
+    items.push_back(wire::CreateStoreStateItem(builder, key, it.version.value(),
+                                               bytes, it.value.has_value()));
+  }
+  return builder.CreateVector(items);
+}
+
+Result<void> DecodePatchedChanges(const wire::PatchedChanges& table,
+                                  StoreStateReplyMessage& out) {
+  if (!IsWithin(table.items(), kMaxPeerStoreItems) ||
+      !IsWithin(table.patches(), kMaxPeerStoreItems)) {
+    return MakeFrameError("a list in the frame is too long");
+  }
+  out.changes_after = {out.position.era, StoreVersion(table.base_version())};
+  out.items = DecodeStateItems(table.items());
+  out.has_omissions = table.has_omissions();
+  if (table.patches() == nullptr) {
+    return {};
+  }
+  for (const wire::StoreStatePatch* const it : *table.patches()) {
+    if (it->data() == nullptr) {
+      return MakeFrameError("a patch has no data");
+    }
+    out.patches.push_back({it->key()->str(), StoreVersion(it->base_version()),
+                           StoreVersion(it->version()), ToBytes(*it->data())});
+  }
+  return {};
+}
+
+Offset<wire::PatchedChanges> EncodePatchedChanges(
+    FlatBufferBuilder& builder,
+    const StoreStateReplyMessage& message) {
+  std::vector<Offset<wire::StoreStatePatch>> patches;
+  patches.reserve(message.patches.size());
+  for (const StoreStatePatch& it : message.patches) {
+    const auto key = builder.CreateString(it.key);
+    const auto data = builder.CreateVector(
+        reinterpret_cast<const std::uint8_t*>(it.data.data()), it.data.size());
+    patches.push_back(wire::CreateStoreStatePatch(builder, key, it.base.value(),
+                                                  it.version.value(), data));
+  }
+  return wire::CreatePatchedChanges(
+      builder, message.changes_after.value_or(StorePosition()).version.value(),
+      EncodeStateItems(builder, message.items), builder.CreateVector(patches),
+      message.has_omissions);
+}
+
 Result<StoreStateReplyMessage> DecodeStateReply(
     const wire::StoreStateReply& reply) {
   if (!IsWithin(reply.items(), kMaxPeerStoreItems)) {
@@ -130,17 +208,13 @@
   if (message.position.era < StoreEra()) {
     return MakeFrameError("the era of the store is negative");
   }
-  if (reply.items() == nullptr) {
-    return message;
-  }
-  for (const wire::StoreStateItem* const it : *reply.items()) {
-    StoreStateItem item;
-    item.key = it->key()->str();
-    item.version = StoreVersion(it->version());
-    if (it->has_value() && it->value() != nullptr) {
-      item.value = std::string(it->value()->begin(), it->value()->end());
+  message.items = DecodeStateItems(reply.items());
+  if (reply.patched() != nullptr) {
+    if (const Result<void> read =
+            DecodePatchedChanges(*reply.patched(), message);
+        !read) {
+      return tl::unexpected(read.error());
     }
-    message.items.push_back(std::move(item));
   }
   return message;
 }
@@ -150,21 +224,19 @@
 Offset<wire::StoreStateReply> EncodeStoreState(
     FlatBufferBuilder& builder,
     const StoreStateReplyMessage& message) {
-  std::vector<Offset<wire::StoreStateItem>> items;
-  for (const StoreStateItem& it : message.items) {
-    const auto key = builder.CreateString(it.key);
-    const std::string value = it.value.value_or(std::string());
-    const auto bytes = builder.CreateVector(
-        reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
-    items.push_back(wire::CreateStoreStateItem(builder, key, it.version.value(),
-                                               bytes, it.value.has_value()));
+  if (!message.patches.empty() || message.has_omissions) {
+    const auto patched = EncodePatchedChanges(builder, message);
+    return wire::CreateStoreStateReply(
+        builder, message.position.version.value(), 0,
+        message.position.era.value(), true, message.position.version.value(),
+        message.is_settling, patched);
   }
-  const auto reply = wire::CreateStoreStateReply(
-      builder, message.position.version.value(), builder.CreateVector(items),
-      message.position.era.value(), message.changes_after.has_value(),
+  return wire::CreateStoreStateReply(
+      builder, message.position.version.value(),
+      EncodeStateItems(builder, message.items), message.position.era.value(),
+      message.changes_after.has_value(),
       message.changes_after.value_or(StorePosition()).version.value(),
       message.is_settling);
-  return reply;
 }
 
 Offset<wire::WorkNotes> EncodeWorkNotes(FlatBufferBuilder& builder,
@@ -260,7 +332,8 @@
 PeerPayload DecodeStoreStateRequest(const wire::StoreStateRequest& request) {
   return StoreStateRequestMessage{
       {StoreEra(request.era()), StoreVersion(request.version())},
-      request.accepts_changes()};
+      request.accepts_changes(),
+      request.accepts_patches()};
 }
 
 Result<PeerPayload> DecodeStoreState(const wire::StoreStateReply& reply) {
--- a/src/kingcupdrift/net/internal/peer_codec.cc
+++ b/src/kingcupdrift/net/internal/peer_codec.cc
@@ -110,7 +110,7 @@
   EncodedPayload operator()(const StoreStateRequestMessage& message) const {
     const auto request = wire::CreateStoreStateRequest(
         builder, message.position.version.value(), message.position.era.value(),
-        message.accepts_changes);
+        message.accepts_changes, message.accepts_patches);
     return {wire::Payload::StoreStateRequest, request.Union()};
   }
 
--- a/src/kingcupdrift/store/reader_election.cc
+++ b/src/kingcupdrift/store/reader_election.cc
@@ -11,6 +11,7 @@
 constexpr std::string_view kRendezvousKey = "store readers";
 
 struct RankedEntry {
+  double cores = 0;
   std::uint64_t weight = 0;
   const InstanceId* id = nullptr;
   const FailureDomain* domain = nullptr;
@@ -21,28 +22,29 @@
 
 }  // namespace
 
-ReaderElection::ReaderElection(const Clock& clock,
-                               InstanceId local,
-                               FailureDomain domain)
-    : clock_(clock), local_(std::move(local)), domain_(std::move(domain)) {}
+ReaderElection::ReaderElection(const Clock& clock, ReaderCandidate local)
+    : clock_(clock), local_(std::move(local)) {
+  local_.is_healthy_reader = false;
+}
 
 ReaderElection::Rank ReaderElection::ComputeRank(
     const std::vector<ReaderCandidate>& peers,
     bool is_eligible) const {
   std::vector<RankedEntry> entries;
   entries.reserve(peers.size() + 1);
-  const auto add = [&entries](const InstanceId& id, const FailureDomain& domain,
-                              bool is_healthy_reader) {
-    entries.push_back({RendezvousWeight(kRendezvousKey, id.value()), &id,
-                       &domain, is_healthy_reader});
+  const auto add = [&entries](const ReaderCandidate& it) {
+    entries.push_back({it.cores,
+                       RendezvousWeight(kRendezvousKey, it.id.value()), &it.id,
+                       &it.failure_domain, it.is_healthy_reader});
   };
-  add(local_, domain_, false);
+  add(local_);
   for (const ReaderCandidate& it : peers) {
-    add(it.id, it.failure_domain, it.is_healthy_reader);
+    add(it);
   }
   std::sort(entries.begin(), entries.end(),
             [](const RankedEntry& a, const RankedEntry& b) {
-              return std::tie(b.weight, *b.id) < std::tie(a.weight, *a.id);
+              return std::tie(b.cores, b.weight, *b.id) <
+                     std::tie(a.cores, a.weight, *a.id);
             });
   std::map<FailureDomain, std::size_t> counts;
   for (RankedEntry& it : entries) {
@@ -54,7 +56,7 @@
                    });
   Rank rank;
   for (const RankedEntry& it : entries) {
-    if (it.id == &local_) {
+    if (it.id == &local_.id) {
       if (is_eligible) {
         break;
       }
--- a/src/kingcupdrift/store/reader_election.h
+++ b/src/kingcupdrift/store/reader_election.h
@@ -16,20 +16,24 @@
   FailureDomain failure_domain;
   /// It reads the platform's store and reaches it.
   bool is_healthy_reader = false;
+  /// Processor cores that the entry may use; 0 if not known.
+  double cores = 0;
 };
 
 /// Decides if this entry reads the platform's store itself or receives the
 /// changes from an entry that does. The number of readers does not grow with
 /// the number of entries.
 ///
-/// Every entry ranks all entries by rendezvous hashing, the first of each
-/// failure domain before the second of any. The first `kReaderCount` read.
-/// Another entry takes over when it has heard of no healthy reader for
+/// Every entry ranks all entries by cores, since a reader handles each change
+/// for all others, and equal ones by rendezvous hashing; the first of each
+/// failure domain comes before the second of any. The first `kReaderCount`
+/// read. Another entry takes over when it has heard of no healthy reader for
 /// `kTakeoverDelay`, later ranks after earlier ones. Entries may rank different
 /// sets for a moment: too many readers only cost calls.
 class ReaderElection {
  public:
-  ReaderElection(const Clock& clock, InstanceId local, FailureDomain domain);
+  /// Of `local` only the health is ignored.
+  ReaderElection(const Clock& clock, ReaderCandidate local);
 
   /// Decides anew. `peers` are the other entries heard of lately that may read;
   /// `is_local_healthy`: this entry reads and reaches the store. An entry that
@@ -67,8 +71,7 @@
                    bool is_eligible) const;
 
   const Clock& clock_;
-  InstanceId local_;
-  FailureDomain domain_;
+  ReaderCandidate local_;
   bool should_read_ = false;
   bool is_first_reader_ = false;
   bool has_healthy_reader_ = false;
--- a/src/kingcupdrift/store/store_mirror.cc
+++ b/src/kingcupdrift/store/store_mirror.cc
@@ -238,7 +238,10 @@
   }
   std::vector<std::string> missing_keys;
   for (const auto& [key, value] : items_) {
-    if (!present.contains(key)) {
+    const auto ahead = ahead_.find(key);
+    const bool is_newer =
+        ahead != ahead_.end() && ahead->second > listing.version;
+    if (!present.contains(key) && !is_newer) {
       missing_keys.push_back(key);
     }
   }
@@ -247,7 +250,7 @@
         std::max(listing.version, items_[key].version);
     Apply({key, std::nullopt, {era, deleted_at}, false, source});
   }
-  position_.version = std::max(position_.version, listing.version);
+  Advance(listing.version);
 }
 
 void StoreMirror::Watch() {
@@ -287,7 +290,7 @@
            false,
            MirrorSource::kWatch});
   }
-  position_.version = std::max(position_.version, event->version);
+  Advance(event->version);
 }
 
 void StoreMirror::Apply(const MirrorEvent& event) {
@@ -297,6 +300,10 @@
   if (is_known && event.value && it->second.version >= version) {
     return;
   }
+  const auto ahead = ahead_.find(event.key);
+  if (ahead != ahead_.end() && ahead->second > version) {
+    return;
+  }
   if (!event.value) {
     // The key was already deleted, or a listing brought a value newer than
     // this deletion.
@@ -304,8 +311,11 @@
       return;
     }
     items_.erase(it);
+    patches_.Forget(event.key);
   } else {
-    items_[event.key] = *event.value;
+    StoreValue& value = items_[event.key];
+    const StoreValue before = std::exchange(value, *event.value);
+    RecordPatch(event.key, before, event);
   }
   recent_changes_.emplace_back(version, event.key);
   if (recent_changes_.size() > kMaxRecentChanges) {
@@ -317,6 +327,8 @@
 }
 
 void StoreMirror::ForgetRecentChanges() {
+  patches_.Clear();
+  ahead_.clear();
   recent_changes_.clear();
   recent_changes_since_ = position_.version;
 }
--- a/src/kingcupdrift/store/store_mirror.h
+++ b/src/kingcupdrift/store/store_mirror.h
@@ -13,6 +13,7 @@
 
 #include "kingcupdrift/base/base.h"
 #include "kingcupdrift/interfaces/interfaces.h"
+#include "kingcupdrift/store/patch_history.h"
 
 namespace kingcupdrift {
 
@@ -22,6 +23,15 @@
 /// The source's name in logs.
 std::string_view GetSourceName(MirrorSource source);
 
+/// Whether a peer's state has brought a mirror up to the peer's position.
+enum class PeerStateResult {
+  kApplied,
+  /// Changes before those of the peer are missing.
+  kGap,
+  /// A patch was made for a version that the mirror does not have.
+  kWrongPatch,
+};
+
 /// A change of a mirror's copy.
 struct MirrorEvent {
   std::string key;
@@ -33,8 +43,13 @@
   /// from that copy.
   bool is_restored = false;
   MirrorSource source = MirrorSource::kListing;
+  /// The value came as this patch to the copy's value.
+  std::optional<StoreStatePatch> patch = std::nullopt;
 };
 
+/// Leaves values and patches of `kMinPatchedBytes` and more out of changes.
+void LeaveOutLargeChanges(StoreStateReplyMessage& changes);
+
 /// A copy of all values below one prefix of the platform's store, kept up to
 /// date by a listing and a watch. While the store cannot be reached the copy
 /// stays in use, and a newer copy from a peer may replace it. The copy goes
@@ -109,18 +124,22 @@
   /// era.
   StoreStateReplyMessage StateAfter(const StorePosition& position) const;
   /// The changes after `position`; absent if it is of another era, or older
-  /// than the last `kMaxRecentChanges` changes.
+  /// than the last `kMaxRecentChanges` changes. `with_patches`: large values
+  /// are patches where this copy has them.
   std::optional<StoreStateReplyMessage> ChangesAfter(
-      const StorePosition& position) const;
+      const StorePosition& position,
+      bool with_patches) const;
   /// Says that there are changes up to the present position, without them: a
   /// copy that applies it lists the store once.
   StoreStateReplyMessage MakeChangeNotice() const;
   /// Replaces this copy by a peer's newer one, or applies its newer changes.
   /// Does nothing if the peer's copy leaves out a value that this copy doesn't
-  /// have, if its era is more than `kMaxEraRise` higher, or if changes are
-  /// missing before the peer's: only then the result is false, and the peer's
-  /// whole copy is needed.
-  bool ApplyPeerState(const StoreStateReplyMessage& state);
+  /// have, or if its era is more than `kMaxEraRise` higher.
+  ///
+  /// If changes are missing before the peer's, or a patch does not apply, the
+  /// result says which, and the peer has to be asked. The other changes are
+  /// applied all the same, so that none waits for another; `position` stays.
+  PeerStateResult ApplyPeerState(const StoreStateReplyMessage& state);
 
   /// Wait after the first failed listing or watch, before jitter of 0.5 to 1.
   /// It doubles with each further failure up to `kMaxBackoff`.
@@ -139,6 +158,7 @@
   /// cut off. A larger rise is more likely a damaged answer.
   static constexpr std::int64_t kMaxEraRise = 1000;
   /// Only keys and versions are kept. More than the changes of some seconds.
+  /// Also limits the changes that are applied before earlier ones.
   static constexpr std::size_t kMaxRecentChanges = 2000;
 
  private:
@@ -151,14 +171,24 @@
   void Watch();
   void OnEvent(Result<StoreEvent> event);
   void Apply(const MirrorEvent& event);
-  bool ApplyPeerChanges(const StoreStateReplyMessage& state);
+  PeerStateResult ApplyPeerChanges(const StoreStateReplyMessage& state);
+  /// `has_gap`: changes before this one are missing.
+  void ApplyPeerChange(const MirrorEvent& event, bool has_gap);
+  /// False if a patch does not apply; the later ones are then left out.
+  bool ApplyPatches(const std::vector<StoreStatePatch>& patches, bool has_gap);
+  /// Moves the position forward, never back.
+  void Advance(StoreVersion version);
+  /// Keeps a patch to the value that replaces `before`, for peers.
+  void RecordPatch(const std::string& key,
+                   const StoreValue& before,
+                   const MirrorEvent& event);
   /// Lists the store now, since a peer has newer contents: without a watch that
   /// works, and once more if a listing is in progress. A copy that does not
   /// read the store does not repeat a failed listing.
   void ListOnce();
   /// Nothing is known of the changes before the present position.
   void ForgetRecentChanges();
-  bool ApplyPeerContents(const StoreStateReplyMessage& state);
+  PeerStateResult ApplyPeerContents(const StoreStateReplyMessage& state);
   void RecordSuccess();
   void RetryLater(const Error& error);
   /// Lists the store again after a part of `kMinBackoff`, drawn at random.
@@ -181,6 +211,10 @@
   // list is complete.
   std::deque<std::pair<StoreVersion, std::string>> recent_changes_;
   StoreVersion recent_changes_since_;
+  PatchHistory patches_;
+  // Keys whose change was applied before all changes up to it were, and the
+  // change's version.
+  std::map<std::string, StoreVersion> ahead_;
   EraListener era_listener_ = [](StoreEra) {};
   std::function<void()> reachability_listener_ = [] {};
   // Implausible era of the last listing; accepted if the next one has it too.
--- a/src/kingcupdrift/store/store_mirror_peers.cc
+++ b/src/kingcupdrift/store/store_mirror_peers.cc
@@ -1,9 +1,12 @@
 // How a mirror exchanges its copy with peers.
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 
 #include "kingcupdrift/store/store_mirror.h"
+#include "kingcupdrift/store/value_patch.h"
 
 namespace kingcupdrift {
 namespace {
@@ -31,7 +34,8 @@
 }
 
 std::optional<StoreStateReplyMessage> StoreMirror::ChangesAfter(
-    const StorePosition& position) const {
+    const StorePosition& position,
+    bool with_patches) const {
   if (!is_complete_ || position.era != position_.era ||
       position.version < recent_changes_since_) {
     return std::nullopt;
@@ -50,6 +54,15 @@
     const auto it = items_.find(key);
     if (it == items_.end()) {
       state.items.push_back({key, version, std::nullopt});
+      continue;
+    }
+    std::optional<std::vector<StoreStatePatch>> patches;
+    if (with_patches) {
+      patches = patches_.FindAfter(key, position.version);
+    }
+    if (patches) {
+      std::move(patches->begin(), patches->end(),
+                std::back_inserter(state.patches));
     } else {
       state.items.push_back({key, it->second.version, it->second.value});
     }
@@ -65,45 +78,136 @@
   return state;
 }
 
-bool StoreMirror::ApplyPeerChanges(const StoreStateReplyMessage& state) {
-  if (state.position.era != position_.era || !is_complete_ ||
-      state.changes_after->version > position_.version) {
-    return false;
+void StoreMirror::Advance(StoreVersion version) {
+  position_.version = std::max(position_.version, version);
+  std::erase_if(ahead_, [this](const auto& it) {
+    return it.second <= position_.version;
+  });
+}
+
+PeerStateResult StoreMirror::ApplyPeerChanges(
+    const StoreStateReplyMessage& state) {
+  if (state.position.era != position_.era || !is_complete_) {
+    return PeerStateResult::kGap;
   }
+  const bool has_gap =
+      state.has_omissions || state.changes_after->version > position_.version;
   is_peer_settling_ = state.is_settling;
   for (const StoreStateItem& it : state.items) {
     std::optional<StoreValue> value;
     if (it.value) {
       value = StoreValue{*it.value, it.version};
     }
-    if (it.version > position_.version) {
-      Apply({it.key,
-             std::move(value),
-             {position_.era, it.version},
-             false,
-             MirrorSource::kPeerChanges});
-    }
+    const MirrorEvent event{it.key,
+                            std::move(value),
+                            {position_.era, it.version},
+                            false,
+                            MirrorSource::kPeerChanges};
+    ApplyPeerChange(event, has_gap);
+  }
+  const bool is_patched = ApplyPatches(state.patches, has_gap);
+  if (state.has_omissions) {
+    ListOnce();
+    return PeerStateResult::kApplied;
   }
-  position_.version = state.position.version;
+  if (!is_patched) {
+    return PeerStateResult::kWrongPatch;
+  }
+  if (has_gap) {
+    return PeerStateResult::kGap;
+  }
+  Advance(state.position.version);
   peer_version_ = state.position.version;
+  return PeerStateResult::kApplied;
+}
+
+void StoreMirror::ApplyPeerChange(const MirrorEvent& event, bool has_gap) {
+  const StoreVersion version = event.position.version;
+  if (version <= position_.version) {
+    return;
+  }
+  if (has_gap) {
+    if (!ahead_.contains(event.key) && ahead_.size() >= kMaxRecentChanges) {
+      return;
+    }
+    StoreVersion& applied = ahead_[event.key];
+    applied = std::max(applied, version);
+  }
+  Apply(event);
+}
+
+void StoreMirror::RecordPatch(const std::string& key,
+                              const StoreValue& before,
+                              const MirrorEvent& event) {
+  if (event.patch) {
+    patches_.Add(*event.patch);
+    return;
+  }
+  const std::string& value = event.value->value;
+  // Only readers send changes to all others, and have every version.
+  if (event.source == MirrorSource::kWatch && before.version > StoreVersion() &&
+      value.size() >= kMinPatchedBytes) {
+    if (auto patch = MakeValuePatch(before.value, value)) {
+      patches_.Add(
+          {key, before.version, event.position.version, *std::move(patch)});
+      return;
+    }
+  }
+  patches_.Forget(key);
+}
+
+void LeaveOutLargeChanges(StoreStateReplyMessage& changes) {
+  std::erase_if(changes.items, [](const StoreStateItem& it) {
+    return it.value && it.value->size() >= kMinPatchedBytes;
+  });
+  std::erase_if(changes.patches, [](const StoreStatePatch& it) {
+    return it.data.size() >= kMinPatchedBytes;
+  });
+  changes.has_omissions = true;
+}
+
+bool StoreMirror::ApplyPatches(const std::vector<StoreStatePatch>& patches,
+                               bool has_gap) {
+  for (const StoreStatePatch& patch : patches) {
+    const auto known = items_.find(patch.key);
+    if (known != items_.end() && known->second.version >= patch.version) {
+      continue;
+    }
+    std::optional<std::string> value;
+    if (known != items_.end() && known->second.version == patch.base) {
+      value = ApplyValuePatch(known->second.value, patch.data);
+    }
+    if (!value) {
+      return false;
+    }
+    MirrorEvent event{patch.key,
+                      StoreValue{*std::move(value), patch.version},
+                      {position_.era, patch.version},
+                      false,
+                      MirrorSource::kPeerChanges,
+                      patch};
+    ApplyPeerChange(event, has_gap);
+  }
   return true;
 }
 
-bool StoreMirror::ApplyPeerState(const StoreStateReplyMessage& state) {
+PeerStateResult StoreMirror::ApplyPeerState(
+    const StoreStateReplyMessage& state) {
   is_applying_peer_state_ = true;
-  const bool is_applied = ApplyPeerContents(state);
+  const PeerStateResult result = ApplyPeerContents(state);
   is_applying_peer_state_ = false;
-  return is_applied;
+  return result;
 }
 
-bool StoreMirror::ApplyPeerContents(const StoreStateReplyMessage& state) {
+PeerStateResult StoreMirror::ApplyPeerContents(
+    const StoreStateReplyMessage& state) {
   if (state.position <= position_) {
-    return true;
+    return PeerStateResult::kApplied;
   }
-  if (state.changes_after && state.items.empty()) {
+  if (state.changes_after && state.items.empty() && state.patches.empty()) {
     is_peer_settling_ = state.is_settling;
     ListOnce();
-    return true;
+    return PeerStateResult::kApplied;
   }
   if (state.changes_after) {
     return ApplyPeerChanges(state);
@@ -114,7 +218,7 @@
         "Ignored a peer's copy of the store: its era {} is too far above the "
         "local era {}.",
         state.position.era.value(), position_.era.value());
-    return true;
+    return PeerStateResult::kApplied;
   }
   StoreListing listing;
   listing.version = state.position.version;
@@ -129,7 +233,7 @@
           "Ignored a peer's copy of the store: it has no value for key "
           "{}, and neither has the local copy.",
           it.key);
-      return true;
+      return PeerStateResult::kApplied;
     }
   }
   kLog.Info(
@@ -148,7 +252,7 @@
   }
   peer_version_ = state.position.version;
   is_complete_ = true;
-  return true;
+  return PeerStateResult::kApplied;
 }
 
 }  // namespace kingcupdrift
--- a/tests/fakes/fake_peer_network.cc
+++ b/tests/fakes/fake_peer_network.cc
@@ -12,6 +12,9 @@
     for (const StoreStateItem& it : state.items) {
       bytes += it.value ? it.value->size() : 0;
     }
+    for (const StoreStatePatch& it : state.patches) {
+      bytes += it.data.size();
+    }
   };
   if (const auto* const it =
           std::get_if<StoreStateReplyMessage>(&message.payload)) {
@@ -74,6 +77,7 @@
 void FakePeerLink::Receive(const PeerMessage& message) {
   inbox_.Post(Duration::zero(), [this, message] {
     if (receiver_) {
+      receive_hook_();
       receiver_(message);
     }
   });
--- a/tests/fakes/fake_peer_network.h
+++ b/tests/fakes/fake_peer_network.h
@@ -2,6 +2,7 @@
 #define TESTS_FAKES_FAKE_PEER_NETWORK_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -78,6 +79,10 @@
   void SetReceiver(Receiver receiver) override {
     receiver_ = std::move(receiver);
   }
+  /// `hook` is called before each message is received.
+  void SetReceiveHook(std::function<void()> hook) {
+    receive_hook_ = std::move(hook);
+  }
 
  private:
   friend class FakePeerNetwork;
@@ -87,6 +92,7 @@
   Endpoint local_;
   FakePeerNetwork& network_;
   Receiver receiver_;
+  std::function<void()> receive_hook_ = [] {};
   bool is_closed_ = false;
   DelayedTaskRunner inbox_;
 };
--- a/tests/forwarding/gateway_harness.cc
+++ b/tests/forwarding/gateway_harness.cc
@@ -20,6 +20,8 @@
 constexpr Duration kWatchIdleTime = milliseconds(700);
 constexpr Duration kWatchTimeout = 2 * kWatchIdleTime;
 
+}  // namespace
+
 FakeStoreOptions MakeStoreOptions() {
   FakeStoreOptions options;
   options.watch_timeout = kWatchTimeout;
@@ -27,8 +29,6 @@
   return options;
 }
 
-}  // namespace
-
 ItemKind TextDecoder::ClassifyKey(const std::string& key) const {
   if (key == "config") {
     return ItemKind::kConfig;
@@ -89,13 +89,15 @@
 
 GatewayNode::GatewayNode(int number,
                          const std::string& name,
-                         ManualClock& clock,
+                         Clock& clock,
                          Random& random,
-                         StoreModel& model,
+                         std::unique_ptr<FakeStore> store_client,
                          FakePeerNetwork& network,
-                         const StateDecoder& decoder)
+                         const StateDecoder& decoder,
+                         double cores)
     : endpoint{"10.0.0." + std::to_string(number), kPeerPort},
-      store(MakeStoreOptions(), model, clock),
+      owned_store(std::move(store_client)),
+      store(*owned_store),
       link(endpoint, network, clock),
       log(clock,
           [this](std::string_view bytes) {
@@ -106,11 +108,27 @@
           {{InstanceId(name + std::to_string(number)),
             endpoint,
             {endpoint.host, kCallerPort},
-            FailureDomain(number % 2 == 0 ? "a" : "b")},
+            FailureDomain(number % 2 == 0 ? "a" : "b"),
+            cores},
            {0.2, 100},
            ColdBound{1.5, 5}},
           {clock, random, store, link, targets, decoder, log})) {}
 
+GatewayNode::GatewayNode(int number,
+                         const std::string& name,
+                         Clock& clock,
+                         Random& random,
+                         StoreModel& model,
+                         FakePeerNetwork& network,
+                         const StateDecoder& decoder)
+    : GatewayNode(number,
+                  name,
+                  clock,
+                  random,
+                  std::make_unique<FakeStore>(MakeStoreOptions(), model, clock),
+                  network,
+                  decoder) {}
+
 std::string GatewayNode::Metric(const std::string& name) const {
   const std::string text = gateway->GetMetricsText();
   const std::string line = "\n" + name + " ";
@@ -131,6 +149,17 @@
                          : "waits";
 }
 
+bool GatewayNode::IsUsed(const std::string& id) {
+  REQUIRE(Ask("kept") == "sent");
+  const auto send = targets.sends.back();
+  TargetResponseHead head;
+  head.status = 200;
+  head.request = send->request;
+  send->observer->OnResponseHead(head);
+  send->observer->OnEnd();
+  return send->target.id == EngineId(id);
+}
+
 bool GatewayNode::IsFirstReader() const {
   return Metric("kingcupdrift_store_first_reader") == "1";
 }
--- a/tests/forwarding/gateway_harness.h
+++ b/tests/forwarding/gateway_harness.h
@@ -27,12 +27,23 @@
                                     const std::string& value) const override;
 };
 
+/// How entries call the store, as on the users' platform.
+FakeStoreOptions MakeStoreOptions();
+
 /// One entry (serving process) with its own connections to the store and the
 /// peers.
 struct GatewayNode {
   GatewayNode(int number,
               const std::string& name,
-              ManualClock& clock,
+              Clock& clock,
+              Random& random,
+              std::unique_ptr<FakeStore> store_client,
+              FakePeerNetwork& network,
+              const StateDecoder& decoder,
+              double cores = 0);
+  GatewayNode(int number,
+              const std::string& name,
+              Clock& clock,
               Random& random,
               StoreModel& model,
               FakePeerNetwork& network,
@@ -42,6 +53,9 @@
   std::string Metric(const std::string& name) const;
   /// "sent" if the request goes to a target, else the name of the refusal.
   std::string Ask(const std::string& key);
+  /// Sends and answers one request with the key "kept"; whether it went to
+  /// `id`.
+  bool IsUsed(const std::string& id);
   /// It passes changes of the store on to the others.
   bool IsFirstReader() const;
   /// The process ends without a word.
@@ -49,7 +63,8 @@
 
   bool is_running = true;
   Endpoint endpoint;
-  FakeStore store;
+  std::unique_ptr<FakeStore> owned_store;
+  FakeStore& store;
   FakePeerLink link;
   FakeTargetClient targets;
   std::string log_text;
--- a/tests/forwarding/peer_exchange_harness.h
+++ b/tests/forwarding/peer_exchange_harness.h
@@ -125,12 +125,12 @@
   std::optional<StoreStateReplyMessage> TakeStoreChanges() override {
     return std::exchange(changes, std::nullopt);
   }
-  bool OnState(const StoreStateReplyMessage& reply) override {
+  PeerStateResult OnState(const StoreStateReplyMessage& reply) override {
     if (reply.changes_after && *reply.changes_after > state.store_position) {
-      return false;
+      return PeerStateResult::kGap;
     }
     state.store_position = reply.position;
-    return true;
+    return PeerStateResult::kApplied;
   }
   void OnPeersChecked(const std::vector<ReaderCandidate>& recent,
                       bool) override {
--- a/tests/forwarding/store_delay_harness.h
+++ b/tests/forwarding/store_delay_harness.h
@@ -78,16 +78,8 @@
 
   /// Sends and answers one request at each entry; whether one went to `id`.
   bool IsUsedAnywhere(const std::string& id) {
-    return std::any_of(nodes.begin(), nodes.end(), [&id](const auto& it) {
-      REQUIRE(it->Ask("kept") == "sent");
-      const auto send = it->targets.sends.back();
-      TargetResponseHead head;
-      head.status = 200;
-      head.request = send->request;
-      send->observer->OnResponseHead(head);
-      send->observer->OnEnd();
-      return send->target.id == EngineId(id);
-    });
+    return std::any_of(nodes.begin(), nodes.end(),
+                       [&id](const auto& it) { return it->IsUsed(id); });
   }
 };
 
--- a/tests/forwarding/store_delay_test.cc
+++ b/tests/forwarding/store_delay_test.cc
@@ -119,5 +119,42 @@
   }
 }
 
+// Guards against the removal of a target that waits for large configurations,
+// none of which reaches all entries before the next one is stored.
+TEST_CASE("a removed target is known although configurations are withheld") {
+  constexpr std::uint64_t kLinkBytesPerSecond = 2'500'000;
+  constexpr Duration kGap = milliseconds(400);
+  constexpr int kVersionsBefore = 3;
+  for (const int count : {6, 24, 89, 195}) {
+    CAPTURE(count);
+    DelayHarness harness(count);
+    harness.network.SetLinkRate(kLinkBytesPerSecond);
+    for (const auto& it : harness.nodes) {
+      it->store.SetTurnedAway(it->Metric("kingcupdrift_store_reader") == "0");
+    }
+    // Nothing of a version is left in the next one.
+    SeededRandom random(2);
+    const auto put_next = [&harness, &random](int version) {
+      std::string text = std::to_string(version) + " kept ";
+      while (text.size() < 500'000) {
+        text += random.GenerateToken();
+      }
+      harness.Put("config", text);
+    };
+    int version = 5;
+    for (int i = 0; i < kVersionsBefore; ++i) {
+      put_next(version++);
+      harness.clock.Advance(kGap);
+    }
+    harness.Delete("targets/t1");
+    const MonotonicTime acknowledged = harness.clock.Now();
+    while (harness.clock.Now() - acknowledged < kLargeFleetBound) {
+      put_next(version++);
+      harness.clock.Advance(kGap);
+    }
+    CHECK_FALSE(harness.IsUsedAnywhere("t1"));
+  }
+}
+
 }  // namespace
 }  // namespace kingcupdrift::fakes
--- a/tests/net/forwarding_codec_test.cc
+++ b/tests/net/forwarding_codec_test.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <string>
 #include <variant>
 
 #include "kingcupdrift/net/internal/peer_codec.h"
+#include "peer_generated.h"
 
 namespace kingcupdrift {
 namespace {
@@ -177,5 +179,60 @@
   CHECK_FALSE(received->items[2].value);
 }
 
+// Guards against a build of before that takes a message with patches for all
+// changes, and misses the patched ones.
+TEST_CASE("changes with patches look like a notice to earlier builds") {
+  StoreStateReplyMessage changes;
+  changes.position = {StoreEra(3), StoreVersion(44)};
+  changes.changes_after = StorePosition{StoreEra(3), StoreVersion(41)};
+  changes.items = {{"a", StoreVersion(42), "1"},
+                   {"b", StoreVersion(43), std::nullopt}};
+  changes.patches = {{"c", StoreVersion(40), StoreVersion(44), "patch"}};
+  changes.is_settling = true;
+  const auto encode = [](const StoreStateReplyMessage& reply) {
+    PeerMessage message;
+    message.sender = InstanceId("entry-1");
+    message.payload = reply;
+    return EncodePeerMessage(message);
+  };
+  const std::string bytes = encode(changes);
+  const wire::StoreStateReply* const seen =
+      flatbuffers::GetRoot<wire::Frame>(bytes.data())
+          ->payload_as_StoreStateReply();
+  REQUIRE(seen != nullptr);
+  CHECK(seen->items() == nullptr);
+  CHECK(seen->has_changes_only());
+  CHECK(seen->base_version() == 44);
+
+  const auto frame = DecodePeerFrame(bytes);
+  REQUIRE(frame);
+  const auto& decoded = std::get<StoreStateReplyMessage>((*frame)->payload);
+  CHECK(decoded.position == changes.position);
+  CHECK(decoded.changes_after == changes.changes_after);
+  REQUIRE(decoded.items.size() == 2);
+  CHECK(decoded.items[0].value == "1");
+  CHECK_FALSE(decoded.items[1].value);
+  REQUIRE(decoded.patches.size() == 1);
+  CHECK(decoded.patches[0].key == "c");
+  CHECK(decoded.patches[0].base == StoreVersion(40));
+  CHECK(decoded.patches[0].version == StoreVersion(44));
+  CHECK(decoded.patches[0].data == "patch");
+  CHECK(decoded.is_settling);
+  CHECK_FALSE(decoded.has_omissions);
+
+  changes.patches.clear();
+  changes.has_omissions = true;
+  const std::string partial = encode(changes);
+  CHECK(flatbuffers::GetRoot<wire::Frame>(partial.data())
+            ->payload_as_StoreStateReply()
+            ->items() == nullptr);
+  const auto decoded_partial = DecodePeerFrame(partial);
+  REQUIRE(decoded_partial);
+  const auto& rest =
+      std::get<StoreStateReplyMessage>((*decoded_partial)->payload);
+  CHECK(rest.has_omissions);
+  CHECK(rest.items.size() == 2);
+}
+
 }  // namespace
 }  // namespace kingcupdrift
--- a/tests/store/reader_election_test.cc
+++ b/tests/store/reader_election_test.cc
@@ -34,8 +34,8 @@
       Member member;
       member.id = InstanceId("entry-" + std::to_string(i));
       member.domain = FailureDomain("domain-" + std::to_string(i % domains));
-      member.election =
-          std::make_unique<ReaderElection>(clock, member.id, member.domain);
+      member.election = std::make_unique<ReaderElection>(
+          clock, ReaderCandidate{member.id, member.domain});
       members.push_back(std::move(member));
     }
   }
