Answer requests in progress when a planned stop is over

Callers whose requests had not ended half a second before the end of the grace period lost their connection without an answer, among them those of requests that may not be repeated. With an engine that does not answer, tests/process/platform_stop got three such ends of six requests; requests that came after the notice period were refused or got 504, so that late ones were not affected.

The stop ended the process 50 ms after its limit, whatever was in progress.

--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -177,6 +177,13 @@
     context_.stop = {now, now};
   }
 
+  void EndRequests() override {
+    // Requests that end in this loop stay in the map until a later turn.
+    for (const auto& [number, request] : requests_) {
+      request->EndForStop();
+    }
+  }
+
   void SetWorkListener(WorkListener listener) override {
     context_.work_listener = std::move(listener);
   }
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -88,6 +88,10 @@
   /// accepted are refused as `kLeaving`, which guarantees that they did not
   /// run; other refusals stay as they are.
   virtual void RefuseNewRequests() = 0;
+  /// Ends every request in progress, since the entry stops. Those that may have
+  /// run are refused as `kTargetFailed`, others as `kLeaving`; streams that
+  /// have begun are aborted.
+  virtual void EndRequests() = 0;
   /// Callers have this time to go to other entries. They cache an entry's
   /// address for two seconds.
   static constexpr Duration kStopNoticePeriod = std::chrono::milliseconds(2500);
--- a/src/kingcupdrift/forwarding/forwarding.h
+++ b/src/kingcupdrift/forwarding/forwarding.h
@@ -10,6 +10,7 @@
 #include "kingcupdrift/forwarding/cold_target_tracker.h"  // IWYU pragma: export
 #include "kingcupdrift/forwarding/forwarder.h"            // IWYU pragma: export
 #include "kingcupdrift/forwarding/gateway.h"              // IWYU pragma: export
+#include "kingcupdrift/forwarding/gateway_stopper.h"      // IWYU pragma: export
 #include "kingcupdrift/forwarding/peer_state_exchange.h"  // IWYU pragma: export
 #include "kingcupdrift/forwarding/request_priority.h"     // IWYU pragma: export
 #include "kingcupdrift/forwarding/retry_budget_share.h"   // IWYU pragma: export
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -113,6 +113,8 @@
     entry_key_.Stop();
   }
 
+  void EndRequests() override { forwarder_->EndRequests(); }
+
   bool IsDraining() const override { return is_draining_; }
 
   std::size_t CountRequestsInProgress() const override {
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -70,8 +70,11 @@
   virtual void StartDraining(Duration limit) = 0;
   /// Refuses all new requests, and removes this entry's record from the store
   /// and so from the other entries' lists. To be called once all requests have
-  /// ended.
+  /// ended, or just before `EndRequests`.
   virtual void Deregister() = 0;
+  /// Answers or ends all requests in progress, see `Forwarder::EndRequests`. To
+  /// be called after `Deregister`.
+  virtual void EndRequests() = 0;
   virtual bool IsDraining() const = 0;
   virtual std::size_t CountRequestsInProgress() const = 0;
   virtual std::string GetMetricsText() const = 0;
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -139,16 +139,28 @@
 }
 
 void ForwardRequest::HandleTimeLimit() {
+  EndNow(ForwardRefusalType::kTimeLimitAfterSend,
+         ForwardRefusalType::kTimeLimitBeforeSend, "the time limit passed");
+}
+
+void ForwardRequest::EndForStop() {
+  if (!is_done_) {
+    EndNow(ForwardRefusalType::kTargetFailed, ForwardRefusalType::kLeaving,
+           "this entry stops");
+  }
+}
+
+void ForwardRequest::EndNow(ForwardRefusalType sent,
+                            ForwardRefusalType unsent,
+                            std::string_view reason) {
   const bool is_sent = attempt_ != nullptr;
   EndAttempt();
   if (has_begun_) {
     sink_->Abort();
-    Finish("aborted", "the time limit passed during the stream");
+    Finish("aborted", reason);
     return;
   }
-  Refuse(is_sent || may_have_run_ ? ForwardRefusalType::kTimeLimitAfterSend
-                                  : ForwardRefusalType::kTimeLimitBeforeSend,
-         "the time limit passed");
+  Refuse(is_sent || may_have_run_ ? sent : unsent, reason);
 }
 
 void ForwardRequest::HandleClosed() {
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -37,6 +37,9 @@
   /// nothing if the engine is the target itself, if the request is not
   /// idempotent, or if no further attempt or retry budget is left.
   void HandleEngineDown(const EngineId& engine);
+  /// Ends the request, since this entry (the serving process) stops: with a
+  /// refusal that says if it may have run, or with the end of its stream.
+  void EndForStop();
 
   bool TryResume(bool may_start) override;
   void OnStreamBegin(int status, const HeaderList& headers) override;
@@ -191,6 +194,11 @@
   bool TryRetry(bool consumes_retry_budget);
 
   void HandleTimeLimit();
+  /// Ends the request as `sent` if it may have run, otherwise as `unsent`. A
+  /// stream that has begun is aborted.
+  void EndNow(ForwardRefusalType sent,
+              ForwardRefusalType unsent,
+              std::string_view reason);
   void HandleClosed();
   void Refuse(ForwardRefusalType type, std::string_view reason);
   void AbortOrRefuse(std::string_view reason);
