--- a/tests/store/reader_election_test.cc
+++ b/tests/store/reader_election_test.cc
@@ -21,6 +21,7 @@
   struct Member {
     InstanceId id;
     FailureDomain domain;
+    double cores = 0;
     std::unique_ptr<ReaderElection> election;
     bool is_running = true;
     bool reaches_store = true;
@@ -29,13 +30,17 @@
     }
   };
 
-  ElectionHarness(int count, int domains) {
+  /// Of eight entries in a row, the first has `most_cores` and the others a
+  /// quarter of it.
+  ElectionHarness(int count, int domains, double most_cores = 0) {
     for (int i = 0; i < count; ++i) {
       Member member;
       member.id = InstanceId("entry-" + std::to_string(i));
       member.domain = FailureDomain("domain-" + std::to_string(i % domains));
+      member.cores = i % 8 == 0 ? most_cores : most_cores / 4;
       member.election = std::make_unique<ReaderElection>(
-          clock, ReaderCandidate{member.id, member.domain});
+          clock,
+          ReaderCandidate{member.id, member.domain, false, member.cores});
       members.push_back(std::move(member));
     }
   }
@@ -44,7 +49,7 @@
     std::vector<ReaderCandidate> all;
     for (const Member& it : members) {
       if (it.is_running) {
-        all.push_back({it.id, it.domain, it.IsHealthy()});
+        all.push_back({it.id, it.domain, it.IsHealthy(), it.cores});
       }
     }
     for (Member& it : members) {
@@ -116,6 +121,23 @@
   CHECK(domains.size() == 3);
 }
 
+// Guards against readers whose processors can't keep up with the changes that
+// they handle for all others.
+TEST_CASE("entries with the most cores read while they are there") {
+  constexpr double kMostCores = 0.5;
+  ElectionHarness harness(72, 3, kMostCores);
+  harness.Run(seconds(1));
+  for (const auto* const it : harness.Readers()) {
+    CHECK(it->cores == kMostCores);
+  }
+  for (auto& it : harness.members) {
+    it.is_running = it.cores < kMostCores;
+  }
+  harness.Run(seconds(1));
+  CHECK(harness.CountHealthy() == ReaderElection::kReaderCount);
+  CHECK(harness.CountFirst() == 1);
+}
+
 TEST_CASE("readers that die one after the other are replaced at once") {
   ElectionHarness harness(40, 4);
   harness.Run(seconds(1));
