--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -137,6 +137,21 @@
   CHECK(Value(to_engine, "Tenant") == "workspace");
 }
 
+// Guards against arithmetic with a caller's numbers that overflows.
+TEST_CASE("numbers of a caller beyond any use are bounded") {
+  const std::string most = "9223372036854775807";
+  const ForwardCall call = Decode({{"Host", "h"},
+                                   {"Token-Counts", most + "," + most},
+                                   {"Length-Hint", most},
+                                   {"Deadline-Milliseconds", most}});
+  constexpr TokenCount kMostTokens{1'000'000'000};
+  REQUIRE(call.prompt);
+  CHECK(call.prompt->prompt == kMostTokens);
+  CHECK(call.prompt->max_output == kMostTokens);
+  CHECK(call.prompt->expected_output == kMostTokens);
+  CHECK(call.time_limit == std::chrono::hours(24));
+}
+
 TEST_CASE("values of invalid headers are left out of the call") {
   const ForwardCall call = Decode({{"Host", "h"},
                                    {"Token-Counts", "many"},
