Keep changes beside a patch that does not apply

A message without a gap whose patch did not apply was applied in part, and the position stayed. A copy of before the message, received next, brought a target back whose removal was in the message. The versions of such changes are now kept until the position passes them, as those after a gap are. "changes beside a patch that does not apply are kept" failed before.

--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -21,6 +21,7 @@
 constexpr std::string_view kAllKeys;
 
 constexpr double kRateAveragingSeconds = 2;
+
 ForwarderSettings ForwarderSettingsOf(const GatewaySettings& settings) {
   return {settings.own.id, settings.own.failure_domain, settings.budget,
           settings.cold_bound, settings.memory_limit};
--- a/src/kingcupdrift/store/store_mirror_peers.cc
+++ b/src/kingcupdrift/store/store_mirror_peers.cc
@@ -126,13 +126,13 @@
   if (version <= position_.version) {
     return;
   }
-  if (has_gap) {
-    if (!ahead_.contains(event.key) && ahead_.size() >= kMaxRecentChanges) {
-      return;
-    }
-    StoreVersion& applied = ahead_[event.key];
-    applied = std::max(applied, version);
+  if (has_gap && !ahead_.contains(event.key) &&
+      ahead_.size() >= kMaxRecentChanges) {
+    return;
   }
+  // Without a gap, the position follows unless a patch does not apply.
+  StoreVersion& applied = ahead_[event.key];
+  applied = std::max(applied, version);
   Apply(event);
 }
 
--- a/tests/store/store_mirror_peers_test.cc
+++ b/tests/store/store_mirror_peers_test.cc
@@ -99,6 +99,25 @@
   CHECK(harness.Value("config") == MakeLargeValue("3"));
 }
 
+// Guards against an older copy that brings a removed target back, because the
+// message with the removal also had a patch that did not apply.
+TEST_CASE("changes beside a patch that does not apply are kept") {
+  PeersHarness harness;
+  StoreStateReplyMessage older = harness.reader.StateAfter({});
+  const StorePosition before = harness.follower.position();
+  harness.Put("other", "1");
+  older.position = harness.reader.position();
+  harness.Delete("target");
+  StoreStateReplyMessage changes = harness.ChangesAfter(before);
+  changes.patches = {{"config", StoreVersion(900), StoreVersion(901), "patch"}};
+  CHECK(harness.follower.ApplyPeerState(changes) ==
+        PeerStateResult::kWrongPatch);
+  CHECK(harness.Value("target") == "absent");
+  CHECK(harness.follower.position() == before);
+  harness.follower.ApplyPeerState(older);
+  CHECK(harness.Value("target") == "absent");
+}
+
 // Guards against the record of a target that waits for a missing change, and
 // against an older copy that brings a removed target back.
 TEST_CASE("a change is applied before an earlier one that is missing") {
