Run the parts of a long test program at the same time

ctest ran the test program of forwarding, 282 cases, as one test: 186 s here on one core, and 1,029 s of its 1,200 s with sanitizers, while the other cores were idle.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -49,6 +49,29 @@
               absl::flags absl::flags_parse)
 endfunction()
 
+# kcd_add_doctest(NAME LIMIT_SECONDS): runs the doctest program kcd_NAME_test as the
+# test NAME, or as the tests NAME_part_1 and so on, which can run at the same time.
+# The limit is that of each test.
+function(kcd_add_doctest name limit_seconds)
+  # The number of parts of the programs that run for minutes.
+  set(parts_forwarding 24)
+  if(NOT parts_${name})
+    add_test(NAME ${name} COMMAND kcd_${name}_test)
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${limit_seconds})
+    return()
+  endif()
+  foreach(part RANGE 1 ${parts_${name}})
+    add_test(NAME ${name}_part_${part}
+             COMMAND ${CMAKE_SOURCE_DIR}/scripts/test_part
+                     $<TARGET_FILE:kcd_${name}_test> ${part} ${parts_${name}})
+    set_tests_properties(${name}_part_${part} PROPERTIES
+                         TIMEOUT ${limit_seconds})
+  endforeach()
+  add_test(NAME ${name}_parts
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/process/test_parts
+                   $<TARGET_FILE:kcd_${name}_test> ${parts_${name}})
+endfunction()
+
 # kcd_tests(): adds a doctest program kcd_FOLDER_test for each folder of tests/ that
 # has tests.
 function(kcd_tests)
@@ -69,13 +92,12 @@
       target_compile_definitions(kcd_${name}_test PRIVATE
         KINGCUPDRIFT_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
         KINGCUPDRIFT_BINARY_DIR="${CMAKE_BINARY_DIR}")
-      add_test(NAME ${name} COMMAND kcd_${name}_test)
       set(limit_seconds 300)
       if(KINGCUPDRIFT_SANITIZE)
         # Sanitizers slow the random walks down several times.
         set(limit_seconds 1200)
       endif()
-      set_tests_properties(${name} PROPERTIES TIMEOUT ${limit_seconds})
+      kcd_add_doctest(${name} ${limit_seconds})
     endif()
   endforeach()
 endfunction()
