Pass on as a success only what an engine has signed for the request

Cause: an answer was refused only if it named another request. One without Request-Id, which engines repeat in each answer, counted as the engine's, and nothing looked for Server-Stamp. This held for each status, for streams and their resumed parts, and for what other entries passed on.

Now a success needs the request's ID and a signature, and its body no encoding; other answers need the ID, or the mark Not-Executed. Anything else interrupts the attempt: another engine is tried if the request may be repeated, and otherwise the caller gets 502, since the engine may have run it.

The harnesses of the tests now sign the answers of their engines.

--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -8,6 +8,14 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 
+std::string DescribeForeignAnswer(const TargetResponseHead& head) {
+  return "the bytes with status " + std::to_string(head.status) +
+         " are no answer to this request: request ID \"" +
+         head.request.value() + "\", " +
+         (head.is_signed ? "signed" : "not signed") +
+         (head.is_encoded ? ", encoded" : "");
+}
+
 }  // namespace
 
 ForwardAttempt::ForwardAttempt(Clock& clock,
@@ -20,6 +28,7 @@
     : clock_(clock),
       target_(target),
       request_(request.call->id),
+      is_relay_(request.is_relay),
       framer_(framer),
       timeouts_(timeouts),
       owner_(owner) {
@@ -46,10 +55,10 @@
 
 void ForwardAttempt::OnResponseHead(TargetResponseHead answer) {
   response_head_ = std::move(answer);
-  if (!response_head_.request.empty() && response_head_.request != request_) {
+  if (!IsAnswerTo(response_head_, request_, is_relay_)) {
+    // The request may have run before these bytes took its answer's place.
     End(ForwardAttemptOutcome::kInterrupted,
-        "the target answered another request: " +
-            response_head_.request.value());
+        DescribeForeignAnswer(response_head_));
     return;
   }
   is_stream_ = framer_ != nullptr && response_head_.status == kStatusOk &&
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -111,6 +111,7 @@
   Clock& clock_;
   EngineAddress target_;
   RequestId request_;
+  bool is_relay_;
   SseFramer* framer_;
   AttemptTimeouts timeouts_;
   AttemptOwner& owner_;
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -52,13 +52,38 @@
   bool ends_with_connection = false;
   /// The answer says that it is no event stream.
   bool has_other_media_type = false;
+  /// The target has signed the answer.
+  bool is_signed = false;
+  /// The body has an encoding, which callers never ask for.
+  bool is_encoded = false;
   /// The target states that it has not run the request and will not.
   bool is_not_run = false;
+  /// It states so by a mark that only targets of this platform send, not only
+  /// by its status.
+  bool has_not_run_mark = false;
   /// The engine that a refusal names as faulty, which may be a prefill helper;
   /// absent if it names none.
   std::optional<Endpoint> faulty_engine;
 };
 
+/// Whether the answer is one that the target gives to the request `id`. A
+/// faulty target may send other bytes in its place, such as a page of another
+/// server or the answer to another request. Entries refuse without naming the
+/// request, but what they pass on as a success is an engine's answer.
+inline bool IsAnswerTo(const TargetResponseHead& head,
+                       const RequestId& id,
+                       bool is_relay) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  const bool is_success =
+      head.status >= kFirstSuccess && head.status < kFirstRedirect;
+  if (is_success && !head.is_not_run) {
+    return head.request == id && head.is_signed && !head.is_encoded;
+  }
+  const bool needs_id = !is_relay && !head.has_not_run_mark;
+  return head.request == id || (head.request.empty() && !needs_id);
+}
+
 /// What an engine's answer says about the engine itself.
 struct EngineNotice {
   /// The engine is leaving and takes no new requests.
--- a/tests/forwarding/cold_engine_test.cc
+++ b/tests/forwarding/cold_engine_test.cc
@@ -180,6 +180,7 @@
     TargetResponseHead head;
     head.status = status;
     head.request = send.request;
+    head.is_signed = true;
     head.is_not_run = status == 421;
     send.observer->OnResponseHead(head);
     if (send.observer != nullptr && status == 200) {
--- a/tests/forwarding/forwarder_test.cc
+++ b/tests/forwarding/forwarder_test.cc
@@ -75,6 +75,7 @@
     TargetResponseHead head;
     head.status = 503;
     head.request = RequestId("an earlier one");
+    head.is_signed = true;
     head.is_not_run = true;
     harness.send(0).observer->OnResponseHead(head);
     REQUIRE(caller->refusal);
@@ -90,6 +91,7 @@
   TargetResponseHead answer;
   answer.status = 200;
   answer.request = RequestId("another");
+  answer.is_signed = true;
   harness.send(0).observer->OnResponseHead(answer);
   CHECK_FALSE(caller->reply);
   REQUIRE(caller->refusal);
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -228,6 +228,7 @@
   TargetResponseHead answer;
   answer.status = status;
   answer.request = send(i).request;
+  answer.is_signed = true;
   send(i).observer->OnResponseHead(answer);
   send(i).observer->OnBytes(body);
   send(i).observer->OnEnd();
@@ -239,6 +240,7 @@
   answer.faulty_engine = std::move(faulty_engine);
   answer.status = 503;
   answer.is_not_run = true;
+  answer.has_not_run_mark = true;
   send(i).observer->OnResponseHead(answer);
   send(i).observer->OnEnd();
 }
@@ -247,6 +249,7 @@
   TargetResponseHead answer;
   answer.status = 200;
   answer.request = send(i).request;
+  answer.is_signed = true;
   send(i).observer->OnResponseHead(answer);
   send(i).observer->OnBytes(bytes);
 }
--- a/tests/forwarding/gateway_harness.cc
+++ b/tests/forwarding/gateway_harness.cc
@@ -155,6 +155,7 @@
   TargetResponseHead head;
   head.status = 200;
   head.request = send->request;
+  head.is_signed = true;
   send->observer->OnResponseHead(head);
   send->observer->OnEnd();
   return send->target.id == EngineId(id);
--- a/tests/forwarding/gateway_stopper_test.cc
+++ b/tests/forwarding/gateway_stopper_test.cc
@@ -128,6 +128,7 @@
   TargetResponseHead head;
   head.status = 200;
   head.request = send->request;
+  head.is_signed = true;
   send->observer->OnResponseHead(head);
   send->observer->OnEnd();
   REQUIRE(asked->reply);
--- a/tests/forwarding/model_engines_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -22,11 +22,13 @@
       : send_(std::move(send)) {}
 
   void Reply(const ServiceResponse& response) override {
-    WriteHead(response.status);
+    WriteEngineHead(response.status);
     Write(*response.body);
     End();
   }
-  void Begin(int status, const HeaderList&) override { WriteHead(status); }
+  void Begin(int status, const HeaderList&) override {
+    WriteEngineHead(status);
+  }
   void Write(std::string_view bytes) override {
     if (send_->observer != nullptr) {
       send_->observer->OnBytes(bytes);
@@ -43,7 +45,9 @@
     }
   }
   void Refuse(const ForwardRefusal& refusal) override {
-    WriteHead(GuaranteesNotRun(refusal.type) ? 503 : 502);
+    TargetResponseHead head;
+    head.status = GuaranteesNotRun(refusal.type) ? 503 : 502;
+    WriteHead(head);
     End();
   }
   void SetClosedCallback(std::function<void()>) override {}
@@ -51,13 +55,19 @@
   ByteCount GetUnsentBytes() const override { return ByteCount(0); }
 
  private:
-  void WriteHead(int status) {
+  void WriteHead(const TargetResponseHead& head) {
     if (send_->observer != nullptr) {
-      TargetResponseHead head;
-      head.status = status;
       send_->observer->OnResponseHead(head);
     }
   }
+  /// The head of an engine's answer, which entries pass on unchanged.
+  void WriteEngineHead(int status) {
+    TargetResponseHead head;
+    head.status = status;
+    head.request = send_->request;
+    head.is_signed = true;
+    WriteHead(head);
+  }
 
   std::shared_ptr<TargetSend> send_;
 };
@@ -218,6 +228,7 @@
     TargetResponseHead head;
     head.status = 200;
     head.request = send.request;
+    head.is_signed = true;
     send.observer->OnResponseHead(head);
     send.observer->OnBytes("answer");
     send.observer->OnEnd();
@@ -234,6 +245,7 @@
     TargetResponseHead head;
     head.status = 200;
     head.request = send.request;
+    head.is_signed = true;
     send.observer->OnResponseHead(head);
     send.last_event_id.reset();
   }
--- a/tests/forwarding/resumed_stream_test.cc
+++ b/tests/forwarding/resumed_stream_test.cc
@@ -24,6 +24,7 @@
     TargetResponseHead head;
     head.status = status;
     head.request = send(1).request;
+    head.is_signed = true;
     head.has_other_media_type = has_other_media_type;
     send(1).observer->OnResponseHead(head);
     if (send(1).observer != nullptr) {
@@ -89,6 +90,7 @@
   TargetResponseHead head;
   head.status = 500;
   head.request = harness.send(1).request;
+  head.is_signed = true;
   harness.send(1).observer->OnResponseHead(head);
   harness.send(1).observer->OnEnd();
   REQUIRE(harness.targets.sends.size() == 3);
--- a/tests/forwarding/slow_readers_test.cc
+++ b/tests/forwarding/slow_readers_test.cc
@@ -287,6 +287,8 @@
   const std::int64_t before = slow.Metric("kingcupdrift_bytes_held");
   TargetResponseHead head;
   head.status = 200;
+  head.request = slow.send(1).request;
+  head.is_signed = true;
   slow.send(1).observer->OnResponseHead(head);
   slow.send(1).observer->OnBytes(std::string(1000, 'x'));
   CHECK(slow.Metric("kingcupdrift_bytes_held") == before + 1000);
--- a/tests/forwarding/stream_end_test.cc
+++ b/tests/forwarding/stream_end_test.cc
@@ -75,6 +75,7 @@
     TargetResponseHead head;
     head.status = 200;
     head.request = harness.send(i).request;
+    head.is_signed = true;
     head.ends_with_connection = ends_with_connection;
     harness.send(i).observer->OnResponseHead(head);
     harness.send(i).observer->OnEnd();
@@ -117,6 +118,7 @@
         TargetResponseHead head;
         head.status = 200;
         head.request = harness.send(i).request;
+        head.is_signed = true;
         head.ends_with_connection = ends_with_connection;
         harness.send(i).observer->OnResponseHead(head);
         harness.send(i).observer->OnEnd();
--- a/tests/platform/target_http_client_test.cc
+++ b/tests/platform/target_http_client_test.cc
@@ -17,8 +17,8 @@
   TargetFixture() {
     server = Serve([this](std::unique_ptr<HttpExchange> exchange) {
       received.push_back(DecodeCall(*exchange));
-      exchange->Respond(status, {{"Server-Leaving", "1"}, {"Stamp", "s"}},
-                        std::make_shared<const std::string>("answer"));
+      exchange->Respond(status, answer_headers,
+                        std::make_shared<const std::string>(answer));
     });
     targets->SetNoticeObserver(*this);
     target = {EngineId("target"), server->endpoint()};
@@ -46,6 +46,8 @@
   std::unique_ptr<HttpServer> server;
   EngineAddress target;
   int status = 200;
+  HeaderList answer_headers = {{"Server-Leaving", "1"}, {"Stamp", "s"}};
+  std::string answer = "answer";
   std::vector<ForwardCall> received;
   int notices = 0;
   TargetResponseHead head;
@@ -128,6 +130,62 @@
   CHECK_FALSE(fixture.Check());
 }
 
+// Guards against memory that counts as reserved since a faulty engine sent a
+// page in place of its answer.
+TEST_CASE("an order is confirmed only by the engine's own kind of answer") {
+  TargetFixture fixture;
+  const auto reserve = [&fixture] {
+    std::optional<bool> is_reserved;
+    fixture.targets->Reserve(
+        fixture.target, ReservationId("r"), TokenCount(100),
+        std::chrono::seconds(1),
+        [&](const Result<void>& it) { is_reserved = it.has_value(); });
+    fixture.Await([&] { return is_reserved.has_value(); });
+    return *is_reserved;
+  };
+  CHECK_FALSE(reserve());
+  fixture.answer = "<html></html>";
+  CHECK_FALSE(reserve());
+  fixture.answer = "{\"free\":100}";
+  CHECK(reserve());
+  fixture.status = 202;
+  CHECK(reserve());
+  fixture.status = 409;
+  CHECK_FALSE(reserve());
+}
+
+// Guards against an engine that gets no requests since a page of another server
+// named a pause.
+TEST_CASE("only an answer to the request carries the engine's notices") {
+  TargetFixture fixture;
+  ForwardCall call;
+  call.id = RequestId("5a");
+  call.method = "POST";
+  call.target = "/x";
+  call.body = std::make_shared<const std::string>("body");
+  TargetRequest request;
+  request.call = &call;
+  request.time_left = std::chrono::milliseconds(900);
+  const auto count_notices = [&](int status, const HeaderList& headers) {
+    fixture.status = status;
+    fixture.answer_headers = headers;
+    fixture.notices = 0;
+    fixture.is_ended = false;
+    const auto sent = fixture.targets->Send(fixture.target, request, fixture);
+    fixture.Await([&] { return fixture.is_ended; });
+    return fixture.notices;
+  };
+  const std::pair<std::string, std::string> pause = {"Retry-After", "60"};
+  CHECK(count_notices(503, {pause}) == 0);
+  CHECK(count_notices(503, {pause, {"Request-Id", "other"}}) == 0);
+  CHECK(count_notices(503, {pause, {"Request-Id", "5a"}}) == 1);
+  CHECK(count_notices(503, {pause, {"Not-Executed", "1"}}) == 1);
+  const std::pair<std::string, std::string> leaving = {"Server-Leaving", "1"};
+  CHECK(count_notices(200, {leaving, {"Request-Id", "5a"}}) == 0);
+  CHECK(count_notices(
+            200, {leaving, {"Request-Id", "5a"}, {"Server-Stamp", "s"}}) == 1);
+}
+
 TEST_CASE("a relayed call and its answer pass through unchanged") {
   TargetFixture fixture;
   ForwardCall call;
--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -228,10 +228,43 @@
   CHECK(answer.faulty_engine == Endpoint{"10.0.0.1", 80});
   CHECK(Value(answer.headers, "Server-Stamp") == "s");
   CHECK(Value(answer.headers, "Keep-Alive").empty());
+  CHECK(answer.has_not_run_mark);
   CHECK(DecodeAnswer(421, {}).is_not_run);
+  CHECK_FALSE(DecodeAnswer(421, {}).has_not_run_mark);
   CHECK_FALSE(DecodeAnswer(503, {}).is_not_run);
 }
 
+// Guards against a page of another server that passes for an engine's answer.
+TEST_CASE(
+    "an answer is the engine's only with the request's ID and signature") {
+  const HeaderList id = {{"request-id", "5a"}};
+  const HeaderList stamp = {{"Server-Stamp", "s"}};
+  const auto is_answer = [](int status, const std::vector<HeaderList>& parts) {
+    HeaderList headers = {{"Content-Type", "text/html"}};
+    for (const HeaderList& it : parts) {
+      headers.insert(headers.end(), it.begin(), it.end());
+    }
+    return IsAnswerTo(DecodeAnswer(status, headers), RequestId("5a"), false);
+  };
+  for (const int status : {200, 201, 204, 206}) {
+    CAPTURE(status);
+    CHECK(is_answer(status, {id, stamp}));
+    CHECK_FALSE(is_answer(status, {}));
+    CHECK_FALSE(is_answer(status, {id}));
+    CHECK_FALSE(is_answer(status, {stamp}));
+    CHECK_FALSE(is_answer(status, {id, {{"Server-Stamp", ""}}}));
+    CHECK_FALSE(is_answer(status, {{{"Request-Id", "other"}}, stamp}));
+    CHECK_FALSE(is_answer(status, {id, {{"Request-Id", "other"}}, stamp}));
+    CHECK_FALSE(is_answer(status, {id, stamp, {{"Content-Encoding", "gzip"}}}));
+  }
+  for (const int status : {302, 400, 404, 421, 500, 503}) {
+    CAPTURE(status);
+    CHECK(is_answer(status, {id}));
+    CHECK_FALSE(is_answer(status, {}));
+    CHECK(is_answer(status, {{{"Not-Executed", "1"}}}));
+  }
+}
+
 TEST_CASE("only refusals that guarantee that nothing ran have status 503") {
   for (const auto type :
        {ForwardRefusalType::kNotReady, ForwardRefusalType::kLeaving,
