Pass on the events at which an engine's weights change

Cause: SseFramer takes an event for bytes of something else if one of its lines has a field other than data, event, id and retry. The platform's engines begin an event with weight-versions and a number there.

An event that holds nothing else does not keep a stream from being resumed. A blank line also ends an event if its line ends are mixed, LF and CRLF. Other bytes end the attempt as before.

--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -29,6 +29,9 @@
   /// Memory that this process may use; bounds what is held for callers and
   /// engines that read slowly. Absent without a limit.
   std::optional<ByteCount> memory_limit = std::nullopt;
+  /// Field with which engines mark the event of a stream at which the version
+  /// of their weights changes; its value is a number. Empty without one.
+  std::string event_version_field = {};
 };
 
 /// All of them outlive the forwarder.
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -23,8 +23,9 @@
 constexpr double kRateAveragingSeconds = 2;
 
 ForwarderSettings ForwarderSettingsOf(const GatewaySettings& settings) {
-  return {settings.own.id, settings.own.failure_domain, settings.budget,
-          settings.cold_bound, settings.memory_limit};
+  return {settings.own.id,       settings.own.failure_domain,
+          settings.budget,       settings.cold_bound,
+          settings.memory_limit, settings.event_version_field};
 }
 
 class GatewayImpl : public Gateway, public PeerStateObserver {
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -24,6 +24,8 @@
   std::optional<ColdBound> cold_bound = std::nullopt;
   /// Memory that this process may use; absent without a limit.
   std::optional<ByteCount> memory_limit = std::nullopt;
+  /// As in `ForwarderSettings`.
+  std::string event_version_field = {};
 };
 
 /// All of them outlive the gateway.
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -35,7 +35,7 @@
     return;
   }
   if (route_->is_streaming) {
-    framer_.emplace(call_.last_event_id);
+    framer_.emplace(call_.last_event_id, context_.settings.event_version_field);
   }
   context_.budget.CountRequest(service_);
   deadline_timer_ = context_.clock.RunAfter(deadline_ - arrival_,
--- a/src/kingcupdrift/forwarding/sse_framer.cc
+++ b/src/kingcupdrift/forwarding/sse_framer.cc
@@ -10,15 +10,21 @@
 constexpr std::string_view kIdField = "id:";
 
 /// Length in bytes of the first whole event in `bytes`, its blank line
-/// included; 0 if no event is whole.
+/// included; 0 if no event is whole. Each line may end with LF or CRLF.
 std::size_t FindFirstEventSize(std::string_view bytes) {
-  const std::size_t lf = bytes.find("\n\n");
-  const std::size_t crlf = bytes.find("\r\n\r\n");
-  const std::size_t none = std::string_view::npos;
-  if (lf == none && crlf == none) {
-    return 0;
+  std::size_t next = bytes.find('\n');
+  while (next != std::string_view::npos) {
+    ++next;
+    const std::string_view rest = bytes.substr(next);
+    if (rest.starts_with('\n')) {
+      return next + 1;
+    }
+    if (rest.starts_with("\r\n")) {
+      return next + 2;
+    }
+    next = bytes.find('\n', next);
   }
-  return crlf < lf ? crlf + 4 : lf + 2;
+  return 0;
 }
 
 /// The numeric `id` field of an event; absent if it has none.
@@ -56,31 +62,54 @@
   }
 }
 
-bool HasOnlyKnownFields(std::string_view event) {
+/// Whether event streams in general have such a line.
+bool HasStandardField(std::string_view line) {
   constexpr std::array<std::string_view, 4> kFields = {"data", "event", "id",
                                                        "retry"};
+  const std::string_view field = line.substr(0, line.find(':'));
+  // An empty name before a colon begins a comment.
+  return field.empty() ||
+         std::find(kFields.begin(), kFields.end(), field) != kFields.end();
+}
+
+bool IsInteger(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  text.remove_prefix(std::min(text.find_first_not_of(kBlanks), text.size()));
+  text = text.substr(0, text.find_last_not_of(kBlanks) + 1);
+  if (text.starts_with('-')) {
+    text.remove_prefix(1);
+  }
+  return !text.empty() && text.find_first_not_of("0123456789") == text.npos;
+}
+
+}  // namespace
+
+bool SseFramer::IsVersionLine(std::string_view line) const {
+  if (version_field_.empty() || !line.starts_with(version_field_)) {
+    return false;
+  }
+  line.remove_prefix(version_field_.size());
+  return line.starts_with(':') && IsInteger(line.substr(1));
+}
+
+bool SseFramer::HasOnlyKnownLines(std::string_view event) const {
   bool is_known = true;
   ForEachLine(event, [&](std::string_view line) {
-    const std::string_view field = line.substr(0, line.find(':'));
-    // An empty name before a colon begins a comment.
-    is_known =
-        is_known && (field.empty() || std::find(kFields.begin(), kFields.end(),
-                                                field) != kFields.end());
+    is_known = is_known && (HasStandardField(line) || IsVersionLine(line));
   });
   return is_known;
 }
 
-/// Whether the event consists of comments and empty lines.
-bool IsComment(std::string_view event) {
-  bool is_comment = true;
+bool SseFramer::IsWithoutContent(std::string_view event) const {
+  bool is_without_content = true;
   ForEachLine(event, [&](std::string_view line) {
-    is_comment = is_comment && (line.empty() || line.starts_with(':'));
+    is_without_content =
+        is_without_content &&
+        (line.empty() || line.starts_with(':') || IsVersionLine(line));
   });
-  return is_comment;
+  return is_without_content;
 }
 
-}  // namespace
-
 Result<std::string> SseFramer::Feed(std::string_view bytes) {
   pending_ += bytes;
   const std::optional<std::uint64_t> returned_id = last_event_id_;
@@ -117,12 +146,12 @@
 
 Result<SseFramer::EventAction> SseFramer::CheckEvent(std::string_view event) {
   const std::optional<std::uint64_t> id = ParseEventId(event);
-  if (!HasOnlyKnownFields(event)) {
+  if (!HasOnlyKnownLines(event)) {
     return MakeError(ErrorCode::kProtocol,
                      "the stream has bytes that are no event");
   }
   if (!id) {
-    has_unnumbered_event_ = has_unnumbered_event_ || !IsComment(event);
+    has_unnumbered_event_ = has_unnumbered_event_ || !IsWithoutContent(event);
     return EventAction::kPass;
   }
   if (has_expected_id_ && *id <= *last_event_id_) {
--- a/src/kingcupdrift/forwarding/sse_framer.h
+++ b/src/kingcupdrift/forwarding/sse_framer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "kingcupdrift/base/base.h"
 
@@ -14,12 +15,18 @@
 /// drops events that the caller already has, by their numeric `id` field.
 /// Events without one are always passed on. The bytes of an event stay
 /// unchanged. Bytes that are no event, such as an error's text, are an error.
+/// Beside the fields of event streams, an event may have one that engines of
+/// the platform add.
 class SseFramer {
  public:
   /// The caller has all events up to `last_event_id`. They are dropped only
-  /// after `StartAttempt`.
-  explicit SseFramer(std::optional<std::uint64_t> last_event_id)
-      : last_event_id_(last_event_id) {}
+  /// after `StartAttempt`. `version_field` names the field that tells a new
+  /// version of the engine's weights; its value is a number. Empty if engines
+  /// send none.
+  explicit SseFramer(std::optional<std::uint64_t> last_event_id,
+                     std::string version_field = {})
+      : last_event_id_(last_event_id),
+        version_field_(std::move(version_field)) {}
 
   /// Adds bytes of the present attempt and returns the events that are whole
   /// now. kProtocol if the bytes of an unfinished event exceed
@@ -36,7 +43,7 @@
   /// construction.
   std::optional<std::uint64_t> last_event_id() const { return last_event_id_; }
   /// Another attempt can go on where this stream ends: all events that were
-  /// accepted so far, except comments, have numbers.
+  /// accepted so far, except those without content, have numbers.
   bool CanResume() const { return !has_unnumbered_event_; }
   /// An event has begun and is not whole yet.
   bool HasPartialEvent() const { return !pending_.empty(); }
@@ -48,9 +55,14 @@
  private:
   enum class EventAction { kPass, kDrop };
   Result<EventAction> CheckEvent(std::string_view event);
+  bool IsVersionLine(std::string_view line) const;
+  bool HasOnlyKnownLines(std::string_view event) const;
+  /// The event has only comments, empty lines and versions.
+  bool IsWithoutContent(std::string_view event) const;
 
   std::string pending_;
   std::optional<std::uint64_t> last_event_id_;
+  std::string version_field_;
   // The next event must be the one after `last_event_id_`; older ones are
   // dropped.
   bool has_expected_id_ = false;
--- a/tests/forwarding/forwarding_harness.cc
+++ b/tests/forwarding/forwarding_harness.cc
@@ -143,7 +143,8 @@
                                    FailureDomain("a"),
                                    {0.2, 100},
                                    std::nullopt,
-                                   memory_limit},
+                                   memory_limit,
+                                   "weight-versions"},
                                   {clock, random, targets, log})) {
   forwarder->SetWorkListener(
       [this](const WorkNote& note) { notes.push_back(note); });
