Bound the memory of answers that are not complete

Cause: each answer had limits of its own, 8 MB a body or chunk and 1 MB an event, and nothing bounded their sum. BufferBudget counted gathered bodies but could end only answers that callers did not read; events, heads and chunks were not counted.

BufferBudget now counts what has come of an unfinished body, event, head or chunk, and ends the attempts that hold the most once the total is above the mark that follows from memory_mb. Bodies are kept in blocks. Without a memory limit nothing changes.

--- a/src/kingcupdrift/forwarding/internal/buffer_budget.cc
+++ b/src/kingcupdrift/forwarding/internal/buffer_budget.cc
@@ -102,6 +102,23 @@
   bytes_ = bytes;
 }
 
+void UnfinishedAccount::Set(ByteCount bytes) {
+  const auto count_abortable = [this](ByteCount held) {
+    return held > BufferBudget::kMinConnectionBytes ? held : ByteCount(0);
+  };
+  const ByteCount before = count_abortable(bytes_);
+  const ByteCount after = count_abortable(bytes);
+  budget_.held_ += bytes - bytes_;
+  budget_.unfinished_bytes_ += after - before;
+  bytes_ = bytes;
+  if (after > ByteCount(0)) {
+    budget_.unfinished_.insert(this);
+    budget_.ScheduleAborts();
+  } else if (before > ByteCount(0)) {
+    budget_.unfinished_.erase(this);
+  }
+}
+
 BufferBudget::BufferBudget(Clock& clock,
                            DecisionLog& log,
                            std::optional<ByteCount> memory_limit)
@@ -109,7 +126,8 @@
       log_(log),
       has_limit_(memory_limit.has_value()),
       pause_mark_(TakeShare(memory_limit, kPauseShare)),
-      abort_mark_(TakeShare(memory_limit, kAbortShare)) {}
+      abort_mark_(TakeShare(memory_limit, kAbortShare)),
+      spared_unfinished_(TakeShare(memory_limit, kUnfinishedShare)) {}
 
 ByteCount BufferBudget::GetConnectionLimit() const {
   if (!has_limit_ || held_ <= pause_mark_) {
@@ -131,12 +149,50 @@
   if (!has_limit_ || held_ <= abort_mark_) {
     return false;
   }
+  ScheduleAborts();
+  if (held_ - unfinished_bytes_ <= abort_mark_) {
+    return false;
+  }
   // Without this interval, each arrival in a burst would cost a check.
   if (clock_.Now() - checked_at_ >= kCheckInterval) {
     Check();
   }
   ScheduleCheck();
-  return held_ > abort_mark_;
+  return held_ - unfinished_bytes_ > abort_mark_;
+}
+
+void BufferBudget::ScheduleAborts() {
+  if (abort_timer_ || !has_limit_ || held_ <= abort_mark_) {
+    return;
+  }
+  // The caller of this method may be the answer that has to end.
+  abort_timer_ = clock_.RunAfter(Duration::zero(), [this] {
+    abort_timer_.reset();
+    AbortUnfinished(spared_unfinished_);
+    if (held_ > abort_mark_ && clock_.Now() - checked_at_ >= kCheckInterval) {
+      Check();
+    }
+    AbortUnfinished(ByteCount(0));
+  });
+}
+
+void BufferBudget::AbortUnfinished(ByteCount spared) {
+  while (held_ > abort_mark_ && unfinished_bytes_ > spared) {
+    const auto largest = std::max_element(
+        unfinished_.begin(), unfinished_.end(),
+        [](const auto* a, const auto* b) { return a->bytes_ < b->bytes_; });
+    UnfinishedAccount& account = **largest;
+    UnfinishedAnswer& answer = account.answer_;
+    ++unfinished_aborts_;
+    log_.Add("forward", "unfinished_aborted")
+        .Text("request", answer.request().value())
+        .Number("held", account.bytes_.value())
+        .Number("total", held_.value())
+        .Number("mark", abort_mark_.value());
+    account.Set(ByteCount(0));
+    // May destroy the account.
+    answer.AbortUnfinished();
+  }
 }
 
 bool BufferBudget::NeedsChecks() const {
--- a/src/kingcupdrift/forwarding/internal/buffer_budget.h
+++ b/src/kingcupdrift/forwarding/internal/buffer_budget.h
@@ -95,13 +95,45 @@
   ByteCount bytes_;
 };
 
-/// Bounds the memory that is held for callers and engines that read slowly.
+/// An answer that is not complete.
+class UnfinishedAnswer {
+ public:
+  virtual ~UnfinishedAnswer() = default;
+  virtual const RequestId& request() const = 0;
+  /// Ends the attempt and frees its bytes. May destroy the answer.
+  virtual void AbortUnfinished() = 0;
+};
+
+/// The bytes that are held for an answer until it, its head or one of its
+/// events is complete. Must not outlive the budget, nor its answer.
+class UnfinishedAccount {
+ public:
+  UnfinishedAccount(BufferBudget& budget, UnfinishedAnswer& answer)
+      : budget_(budget), answer_(answer) {}
+  ~UnfinishedAccount() { Set(ByteCount(0)); }
+  UnfinishedAccount(const UnfinishedAccount&) = delete;
+  UnfinishedAccount& operator=(const UnfinishedAccount&) = delete;
+
+  /// Aborts nothing before the next turn of the event loop.
+  void Set(ByteCount bytes);
+
+ private:
+  friend class BufferBudget;
+
+  BufferBudget& budget_;
+  UnfinishedAnswer& answer_;
+  ByteCount bytes_;
+};
+
+/// Bounds the memory that is held for requests, for callers and engines that
+/// read slowly, and for answers that are not complete.
 /// Each connection may hold as much as `GetConnectionLimit`; beyond it, its
 /// engine is paused. The limit shrinks as the total grows, so those that hold
 /// the most are paused first. Once the total exceeds `abort_mark`, answers
 /// whose callers read nothing for `kUnreadTime` are aborted, those that hold
-/// the most first. Without a memory limit, a connection may hold
-/// `kMaxConnectionBytes` and nothing else is bounded.
+/// the most first, and unfinished answers, the largest first: a faulty engine
+/// may send an answer, or other bytes, without end. Without a memory limit, a
+/// connection may hold `kMaxConnectionBytes` and nothing else is bounded.
 class BufferBudget {
  public:
   /// `memory_limit`: that of the process; absent without one. `clock` and `log`
@@ -123,11 +155,13 @@
   /// latter.
   ByteCount GetConnectionLimit() const;
   /// The total exceeds `abort_mark`, and no answer may be aborted: new requests
-  /// are to be refused. Aborts answers that may be.
+  /// are to be refused. Aborts answers that may be, unfinished ones in the next
+  /// turn of the event loop.
   bool IsFull();
 
   std::uint64_t pauses() const { return pauses_; }
   std::uint64_t aborts() const { return aborts_; }
+  std::uint64_t unfinished_aborts() const { return unfinished_aborts_; }
 
   /// Most bytes that one connection may hold.
   static constexpr ByteCount kMaxConnectionBytes{256'000};
@@ -156,10 +190,14 @@
   /// short events take besides their bytes (see docs/design/slow-readers.md).
   static constexpr double kPauseShare = 0.2;
   static constexpr double kAbortShare = 0.4;
+  /// Part of the memory limit up to which unfinished answers are spared as long
+  /// as others that callers do not read may be aborted.
+  static constexpr double kUnfinishedShare = 0.2;
 
  private:
   friend class BufferAccount;
   friend class BufferCharge;
+  friend class UnfinishedAccount;
 
   bool NeedsChecks() const;
   void ScheduleCheck();
@@ -168,7 +206,14 @@
   void Refresh();
   void ForgetKernelBytes();
   void ResumeEngines();
+  /// Aborts answers in the next turn of the event loop if the total exceeds
+  /// `abort_mark`.
+  void ScheduleAborts();
   void AbortUnread();
+  /// Aborts unfinished answers that hold more than `kMinConnectionBytes`, the
+  /// largest first, until the total is below `abort_mark` or they hold at most
+  /// `spared` together.
+  void AbortUnfinished(ByteCount spared);
   bool MayAbort(const BufferAccount& account) const;
 
   Clock& clock_;
@@ -176,14 +221,20 @@
   bool has_limit_;
   ByteCount pause_mark_;
   ByteCount abort_mark_;
+  ByteCount spared_unfinished_;
   ByteCount held_;
   std::set<BufferAccount*> accounts_;
+  // The unfinished answers that may be aborted, and their bytes.
+  std::set<UnfinishedAccount*> unfinished_;
+  ByteCount unfinished_bytes_;
   std::size_t paused_ = 0;
   std::uint64_t pauses_ = 0;
   std::uint64_t aborts_ = 0;
+  std::uint64_t unfinished_aborts_ = 0;
   std::uint64_t check_ = 1;
   MonotonicTime checked_at_{};
   std::unique_ptr<Timer> check_timer_;
+  std::unique_ptr<Timer> abort_timer_;
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/forwarding/internal/caller_buffer.cc
+++ b/src/kingcupdrift/forwarding/internal/caller_buffer.cc
@@ -12,7 +12,7 @@
       sink_(sink),
       owner_(owner),
       body_(budget),
-      gathered_(budget),
+      unfinished_(budget, *this),
       account_(budget, *this) {
   body_.Set(ByteCount(static_cast<std::int64_t>(call_.body->size())));
 }
@@ -27,12 +27,12 @@
 
 void CallerBuffer::HandleAttemptEnd() {
   account_.ForgetPause();
-  SetGathered(0);
+  SetUnfinished(0);
 }
 
 void CallerBuffer::Close() {
   account_.Close();
-  SetGathered(0);
+  SetUnfinished(0);
   body_.Set(ByteCount(0));
 }
 
--- a/src/kingcupdrift/forwarding/internal/caller_buffer.h
+++ b/src/kingcupdrift/forwarding/internal/caller_buffer.h
@@ -11,9 +11,9 @@
 
 namespace kingcupdrift {
 
-/// The memory that one request holds: its body, an answer that is gathered
-/// before it is passed on, and bytes that wait for the caller.
-class CallerBuffer : public BufferOwner {
+/// The memory that one request holds: its body, what has come of an unfinished
+/// answer or event, and bytes that wait for the caller.
+class CallerBuffer : public BufferOwner, public UnfinishedAnswer {
  public:
   /// The request as its buffer uses it.
   class Request {
@@ -23,6 +23,9 @@
     virtual ByteCount GetUnreadBytes() const = 0;
     /// Aborts the answer, whose caller does not read, to free its memory.
     virtual void YieldBuffer() = 0;
+    /// Interrupts the attempt, whose answer is not complete, to free its
+    /// memory.
+    virtual void InterruptAttempt() = 0;
   };
 
   /// All references outlive the buffer.
@@ -36,9 +39,9 @@
   /// Writes whole events, the last of which is `last_event`.
   void Write(std::string_view events, std::optional<std::uint64_t> last_event);
   void HandleDrained() { account_.HandleDrained(); }
-  /// Bytes of the answer that is being gathered.
-  void SetGathered(std::size_t bytes) {
-    gathered_.Set(ByteCount(static_cast<std::int64_t>(bytes)));
+  /// Bytes that the attempt holds of an unfinished answer, head or event.
+  void SetUnfinished(std::size_t bytes) {
+    unfinished_.Set(ByteCount(static_cast<std::int64_t>(bytes)));
   }
   /// The connection to the engine has ended.
   void HandleAttemptEnd();
@@ -55,6 +58,7 @@
     owner_.SetEnginePaused(is_paused);
   }
   void Yield() override { owner_.YieldBuffer(); }
+  void AbortUnfinished() override { owner_.InterruptAttempt(); }
 
  private:
   /// An upper bound, since an event has at least one token; absent without a
@@ -67,7 +71,7 @@
   Request& owner_;
   std::int64_t written_ = 0;
   BufferCharge body_;
-  BufferCharge gathered_;
+  UnfinishedAccount unfinished_;
   BufferAccount account_;
 };
 
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -73,8 +73,8 @@
     HandleStreamBytes(bytes);
     return;
   }
-  body_ += bytes;
-  owner_.OnAnswerGathered(body_.size());
+  body_.Append(bytes);
+  ReportUnfinishedBytes();
   if (body_.size() > kMaxAnswerBytes) {
     End(ForwardAttemptOutcome::kInterrupted,
         "the answer exceeds the size limit");
@@ -87,6 +87,7 @@
     End(ForwardAttemptOutcome::kInterrupted, events.error().detail);
     return;
   }
+  ReportUnfinishedBytes();
   if (events->empty()) {
     return;
   }
@@ -102,6 +103,20 @@
   owner_.OnStreamEvents(*events);
 }
 
+void ForwardAttempt::OnWaitingBytes(ByteCount bytes) {
+  waiting_bytes_ = static_cast<std::size_t>(bytes.value());
+  ReportUnfinishedBytes();
+}
+
+void ForwardAttempt::ReportUnfinishedBytes() {
+  const std::size_t event = is_stream_ ? framer_->GetPendingBytes() : 0;
+  owner_.OnUnfinishedBytes(waiting_bytes_ + body_.GetCapacity() + event);
+}
+
+void ForwardAttempt::Interrupt(std::string detail) {
+  End(ForwardAttemptOutcome::kInterrupted, std::move(detail));
+}
+
 void ForwardAttempt::OnEnd() {
   if (is_stream_) {
     if (framer_->HasPartialEvent()) {
@@ -172,7 +187,7 @@
   result.faulty_engine = response_head_.faulty_engine;
   result.response.status = response_head_.status;
   result.response.headers = std::move(response_head_.headers);
-  result.response.body = std::make_shared<const std::string>(std::move(body_));
+  result.response.body = std::make_shared<const std::string>(body_.Take());
   owner_.OnAttemptEnd(std::move(result));
 }
 
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "kingcupdrift/base/base.h"
+#include "kingcupdrift/forwarding/internal/gathered_body.h"
 #include "kingcupdrift/forwarding/sse_framer.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 
@@ -50,8 +51,9 @@
   /// `events` consists of whole events.
   virtual void OnStreamEvents(const std::string& events) = 0;
   virtual void OnAttemptEnd(ForwardAttemptResult result) = 0;
-  /// `bytes` of an answer that is no stream have come so far.
-  virtual void OnAnswerGathered(std::size_t bytes) = 0;
+  /// The attempt holds `bytes` of an unfinished answer, head or event. Must not
+  /// end the attempt.
+  virtual void OnUnfinishedBytes(std::size_t bytes) = 0;
 };
 
 struct AttemptTimeouts {
@@ -90,11 +92,15 @@
   /// Closes the connection, which makes the target stop its work. No method of
   /// the owner is called afterwards.
   void Cancel();
+  /// Ends the attempt as kInterrupted. To be called only while it is in
+  /// progress.
+  void Interrupt(std::string detail);
 
   void OnResponseHead(TargetResponseHead answer) override;
   void OnBytes(std::string_view bytes) override;
   void OnEnd() override;
   void OnFailed(Error error) override;
+  void OnWaitingBytes(ByteCount bytes) override;
 
   /// Most bytes of an answer that is no stream; the whole answer is held in
   /// memory before the caller gets its first byte. A larger one interrupts the
@@ -103,6 +109,7 @@
 
  private:
   void HandleStreamBytes(std::string_view bytes);
+  void ReportUnfinishedBytes();
   void RestartTimeoutTimer(Duration limit);
   void End(ForwardAttemptOutcome end,
            std::string detail,
@@ -118,7 +125,9 @@
   TargetResponseHead response_head_;
   bool is_stream_ = false;
   bool has_begun_ = false;
-  std::string body_;
+  GatheredBody body_;
+  // Bytes that wait below for the rest of a head or chunk.
+  std::size_t waiting_bytes_ = 0;
   std::unique_ptr<Timer> timeout_timer_;
   std::unique_ptr<TargetCall> call_;
 };
--- a/src/kingcupdrift/forwarding/internal/forward_request.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request.cc
@@ -189,6 +189,13 @@
   }
 }
 
+void ForwardRequest::InterruptAttempt() {
+  if (attempt_) {
+    attempt_->Interrupt(
+        "the unfinished answer is large, and memory was needed");
+  }
+}
+
 void ForwardRequest::AbortOrRefuse(std::string_view reason) {
   if (has_begun_) {
     sink_->Abort();
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -45,12 +45,13 @@
   void OnStreamBegin(int status, const HeaderList& headers) override;
   void OnStreamEvents(const std::string& events) override;
   void OnAttemptEnd(ForwardAttemptResult result) override;
-  void OnAnswerGathered(std::size_t bytes) override {
-    buffer_.SetGathered(bytes);
+  void OnUnfinishedBytes(std::size_t bytes) override {
+    buffer_.SetUnfinished(bytes);
   }
   void SetEnginePaused(bool is_paused) override;
   ByteCount GetUnreadBytes() const override;
   void YieldBuffer() override;
+  void InterruptAttempt() override;
 
   /// Least time left for an attempt, also the first one: below it even an idle
   /// target cannot answer.
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -58,6 +58,8 @@
   add_counter("kingcupdrift_refused_early_total", context.refused_early);
   add_counter("kingcupdrift_buffer_pauses_total", context.buffers.pauses());
   add_counter("kingcupdrift_buffer_aborts_total", context.buffers.aborts());
+  add_counter("kingcupdrift_unfinished_answer_aborts_total",
+              context.buffers.unfinished_aborts());
   add_counter("kingcupdrift_buffer_refusals_total", context.buffer_refusals);
   add_counter("kingcupdrift_requests_relayed_total", context.relayed_requests);
   add_counter("kingcupdrift_engines_found_down_total",
--- a/src/kingcupdrift/forwarding/sse_framer.cc
+++ b/src/kingcupdrift/forwarding/sse_framer.cc
@@ -133,6 +133,10 @@
     start += size;
   }
   pending_.erase(0, start);
+  if (pending_.empty()) {
+    // A large read would otherwise stay allocated for the stream's time.
+    pending_.shrink_to_fit();
+  }
   if (pending_.size() > kMaxEventBytes) {
     return MakeError(ErrorCode::kProtocol, "the unfinished event is too large");
   }
--- a/src/kingcupdrift/forwarding/sse_framer.h
+++ b/src/kingcupdrift/forwarding/sse_framer.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_FORWARDING_SSE_FRAMER_H_
 #define KINGCUPDRIFT_FORWARDING_SSE_FRAMER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -47,6 +48,10 @@
   bool CanResume() const { return !has_unnumbered_event_; }
   /// An event has begun and is not whole yet.
   bool HasPartialEvent() const { return !pending_.empty(); }
+  /// Memory that the unfinished event takes, in bytes.
+  std::size_t GetPendingBytes() const {
+    return pending_.empty() ? 0 : pending_.capacity();
+  }
 
   /// Limits the bytes kept of an unfinished event; events of engines are far
   /// smaller. A larger event that arrives whole in one `Feed` is passed on.
--- a/src/kingcupdrift/interfaces/target_client.h
+++ b/src/kingcupdrift/interfaces/target_client.h
@@ -121,6 +121,10 @@
   /// kConnectionLost: the connection was lost during the answer.
   /// kDeadlineExceeded: the time limit passed after the request was sent.
   virtual void OnFailed(Error error) = 0;
+  /// So many bytes wait in this process for the rest of the answer's head or of
+  /// a chunk. Small numbers are not reported, except zero after larger ones.
+  /// Must not destroy the call.
+  virtual void OnWaitingBytes(ByteCount) {}
 };
 
 /// An attempt in progress. Destroying it closes the connection, which makes the
--- a/src/kingcupdrift/net/http_client.h
+++ b/src/kingcupdrift/net/http_client.h
@@ -26,6 +26,9 @@
   BodySlices body;
   /// Do not reuse an idle connection.
   bool needs_new_connection = false;
+  /// Most bytes of the response, its head included; a longer one fails. Zero
+  /// means no limit.
+  ByteCount max_response_bytes{0};
   /// Close the connection after a response with a status of 400 or more.
   bool closes_after_error = false;
   /// Timeout of the whole call; zero means none.
@@ -58,6 +61,11 @@
   /// head. kDeadlineExceeded: the request was sent, and the time limit
   /// passed.
   virtual void OnError(Error error) = 0;
+  /// So many bytes of the response wait for the rest of its head or of a chunk.
+  /// Less than `kMinReportedBytes` are reported as zero. Must not destroy the
+  /// call.
+  virtual void OnWaitingBytes(ByteCount) {}
+  static constexpr ByteCount kMinReportedBytes{4'000};
 };
 
 /// A running call. Destroying it closes the connection; no callback follows.
--- a/src/kingcupdrift/net/internal/client_call.cc
+++ b/src/kingcupdrift/net/internal/client_call.cc
@@ -46,6 +46,10 @@
     observer_.OnBytes(bytes);
   }
 
+  void HandleWaitingBytes(ByteCount bytes) override {
+    observer_.OnWaitingBytes(bytes);
+  }
+
   void HandleEnd(ResponseEnd end) override {
     if (end == ResponseEnd::kComplete && has_headers_) {
       StopTimers();
--- a/src/kingcupdrift/net/internal/client_connection.cc
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -59,6 +59,10 @@
   is_sent_ = false;
   has_head_ = false;
   head_bytes_ = 0;
+  response_bytes_ = 0;
+  max_response_bytes_ =
+      static_cast<std::size_t>(request.max_response_bytes.value());
+  reported_bytes_ = 0;
   evhttp_request* const out = evhttp_request_new(&OnDone, this);
   evhttp_request_set_header_cb(out, &OnHeaders);
   evhttp_request_set_chunked_cb(out, &OnChunk);
@@ -96,6 +100,9 @@
 int ClientConnection::OnHeaders(evhttp_request* request, void* arg) {
   auto& self = *static_cast<ClientConnection*>(arg);
   self.has_head_ = true;
+  // Bytes of the body may have come with the head.
+  const evbuffer* const input = bufferevent_get_input(self.stream());
+  self.head_bytes_ -= std::min(self.head_bytes_, evbuffer_get_length(input));
   if (self.delegate_ != nullptr) {
     self.delegate_->HandleHeaders(
         evhttp_request_get_response_code(request),
@@ -153,17 +160,37 @@
                                void* arg) {
   auto& self = *static_cast<ClientConnection*>(arg);
   self.counters_.bytes_received += static_cast<std::int64_t>(info->n_added);
-  self.CheckLimits(evbuffer_get_length(buffer), info->n_added);
+  self.CountInput(evbuffer_get_length(buffer), info->n_added);
 }
 
-void ClientConnection::CheckLimits(std::size_t unread_bytes,
-                                   std::size_t added_bytes) {
+void ClientConnection::CountInput(std::size_t unread_bytes,
+                                  std::size_t added_bytes) {
   head_bytes_ += has_head_ ? 0 : added_bytes;
+  response_bytes_ += added_bytes;
+  if (delegate_ == nullptr) {
+    return;
+  }
+  ReportWaitingBytes(unread_bytes);
   const bool is_exceeded =
-      unread_bytes > kMaxUnreadBytes || head_bytes_ > kMaxHeadBytes;
-  if (is_exceeded && delegate_ != nullptr) {
+      unread_bytes > kMaxUnreadBytes || head_bytes_ > kMaxHeadBytes ||
+      (max_response_bytes_ > 0 && response_bytes_ > max_response_bytes_);
+  if (is_exceeded) {
     delegate_->HandleEnd(ResponseEnd::kTooLarge);
   }
 }
 
+void ClientConnection::ReportWaitingBytes(std::size_t unread_bytes) {
+  // The lines of a head leave the buffer one by one, and are kept.
+  std::size_t waiting = head_bytes_ + (has_head_ ? unread_bytes : 0);
+  if (ByteCount(static_cast<std::int64_t>(waiting)) <
+      HttpResponseObserver::kMinReportedBytes) {
+    waiting = 0;
+  }
+  if (waiting != reported_bytes_) {
+    reported_bytes_ = waiting;
+    delegate_->HandleWaitingBytes(
+        ByteCount(static_cast<std::int64_t>(waiting)));
+  }
+}
+
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/internal/client_connection.h
+++ b/src/kingcupdrift/net/internal/client_connection.h
@@ -33,6 +33,8 @@
   virtual ~ConnectionDelegate() = default;
   virtual void HandleHeaders(int status, const HeaderList& headers) = 0;
   virtual void HandleBytes(std::string_view bytes) = 0;
+  /// See HttpResponseObserver::OnWaitingBytes.
+  virtual void HandleWaitingBytes(ByteCount bytes) = 0;
   /// The request ended.
   virtual void HandleEnd(ResponseEnd end) = 0;
 };
@@ -83,7 +85,8 @@
                       const evbuffer_cb_info* info,
                       void* arg);
 
-  void CheckLimits(std::size_t unread_bytes, std::size_t added_bytes);
+  void CountInput(std::size_t unread_bytes, std::size_t added_bytes);
+  void ReportWaitingBytes(std::size_t unread_bytes);
   bufferevent* stream() const;
 
   Endpoint server_;
@@ -94,6 +97,10 @@
   bool has_head_ = false;
   // Bytes received before the end of the response head.
   std::size_t head_bytes_ = 0;
+  std::size_t response_bytes_ = 0;
+  // Zero means no limit.
+  std::size_t max_response_bytes_ = 0;
+  std::size_t reported_bytes_ = 0;
 };
 
 }  // namespace kingcupdrift
--- a/tests/net/unframed_response_test.cc
+++ b/tests/net/unframed_response_test.cc
@@ -35,6 +35,7 @@
     received += bytes.size();
     most_at_once = std::max(most_at_once, bytes.size());
   }
+  void OnWaitingBytes(ByteCount bytes) override { waiting = bytes; }
   void OnEnd() override { is_ended = true; }
   void OnError(Error failure) override { error = std::move(failure); }
   bool IsOver() const { return is_ended || error.has_value(); }
@@ -57,6 +58,7 @@
   int status = 0;
   std::size_t received = 0;
   std::size_t most_at_once = 0;
+  ByteCount waiting;
   bool is_ended = false;
   std::optional<Error> error;
 };
@@ -129,6 +131,62 @@
   }
 }
 
+// Guards against memory for unfinished heads and chunks that nothing counts.
+TEST_CASE("Bytes that wait for the rest of a head or a chunk are reported") {
+  for (const bool is_head : {true, false}) {
+    CAPTURE(is_head);
+    RawResponse response;
+    response.server->Write(
+        is_head ? "HTTP/1.1 200 OK\r\n"
+                : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "7530\r\n");
+    const std::string line = "X: " + std::string(995, 'x') + "\r\n";
+    for (int i = 0; i < 29; ++i) {
+      response.server->Write(line);
+    }
+    response.net.Await([&] { return response.waiting >= ByteCount(29'000); });
+    CHECK(response.waiting < ByteCount(30'000));
+    response.server->Write(line + "\r\n0\r\n\r\n");
+    if (is_head) {
+      response.server->Close();
+    }
+    response.net.Await([&] { return response.IsOver(); });
+    CHECK(response.is_ended);
+    CHECK(response.received == (is_head ? 5 : 30'000));
+    // The lines of the head are kept until the end, the chunk is not.
+    CHECK((response.waiting > ByteCount(0)) == is_head);
+  }
+}
+
+TEST_CASE("A response above the request's own limit fails the call") {
+  for (const std::string& start :
+       {std::string(), kUnframedHead,
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "1000000\r\n")}) {
+    CAPTURE(start);
+    NetFixture net;
+    const SilentListener listener;
+    HttpRequest request;
+    request.server = listener.endpoint;
+    request.max_response_bytes = ByteCount(64'000);
+    std::optional<Result<HttpResponse>> result;
+    const auto call =
+        net.client->Fetch(request, [&](auto it) { result = std::move(it); });
+    std::unique_ptr<RawConnection> server;
+    net.Await([&] {
+      server = server ? std::move(server) : listener.Accept();
+      return server != nullptr;
+    });
+    server->Write(start);
+    net.Await([&] {
+      server->Write(std::string(10'000, 'x'));
+      return result.has_value();
+    });
+    CHECK_FALSE(result->has_value());
+    CHECK(net.client->BytesReceived() < ByteCount(100'000));
+  }
+}
+
 TEST_CASE("A large chunk below the limit arrives whole") {
   RawResponse response;
   const std::size_t size = 4'000'000;
