Follow the linter in the new tests

Change: two results are returned without a copy, and a vector reserves its size. The checks are the same.

--- a/tests/forwarding/foreign_answer_test.cc
+++ b/tests/forwarding/foreign_answer_test.cc
@@ -76,14 +76,14 @@
                                         const TargetResponseHead& head) {
   if (sender == Sender::kEntry) {
     RelayingEntry entry;
-    const auto caller = entry.Handle(ForwardingHarness::Call("/once/x"));
+    auto caller = entry.Handle(ForwardingHarness::Call("/once/x"));
     REQUIRE(entry.targets.sends.back()->relayed_call);
     Deliver(*entry.targets.sends.back(), head, "page");
     return caller;
   }
   ForwardingHarness harness;
   harness.AddPlainTargets(2);
-  const auto caller = harness.Handle(ForwardingHarness::Call("/once/x"));
+  auto caller = harness.Handle(ForwardingHarness::Call("/once/x"));
   Deliver(harness.send(0), head, "page");
   return caller;
 }
--- a/tests/forwarding/unfinished_answers_test.cc
+++ b/tests/forwarding/unfinished_answers_test.cc
@@ -94,6 +94,7 @@
     CAPTURE(form.name);
     EndlessEngines entry;
     std::vector<std::shared_ptr<CallerRecord>> callers;
+    callers.reserve(300);
     for (int i = 0; i < 300; ++i) {
       callers.push_back(entry.Handle(entry.NumberedCall(form.path)));
     }
