Promise callers nothing that an engine did not state

Callers of requests that may run once got an engine's 408, 429 or 503 unchanged, also if the engine had begun the request and did not state Not-Executed.

Cause: a whole answer without the statement was passed on whatever its status. A 408 or 429 no longer ends an engine's backoff, and no longer clears a request of crashes. Idempotent routes get what they got.

--- a/src/kingcupdrift/forwarding/internal/forward_attempt.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.cc
@@ -184,6 +184,8 @@
   result.end = end;
   result.detail = std::move(detail);
   result.is_connection_lost = is_connection_lost;
+  result.is_from_engine =
+      !response_head_.request.empty() || response_head_.is_signed;
   result.faulty_engine = response_head_.faulty_engine;
   result.response.status = response_head_.status;
   result.response.headers = std::move(response_head_.headers);
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -37,6 +37,8 @@
   /// The target's connection was lost, so that its process may have ended. A
   /// target that is only silent is no such case.
   bool is_connection_lost = false;
+  /// The answer names the request or is signed, as only answers of engines are.
+  bool is_from_engine = false;
   std::string detail;
 };
 
--- a/src/kingcupdrift/forwarding/internal/forward_context.h
+++ b/src/kingcupdrift/forwarding/internal/forward_context.h
@@ -90,6 +90,9 @@
   std::uint64_t interrupted_streams = 0;
   // Attempts given up since their first event was overdue, for metrics.
   std::uint64_t overdue_attempts = 0;
+  // Refusals of targets that were not passed on since the request may have run,
+  // for metrics.
+  std::uint64_t unconfirmed_refusals = 0;
   // Times that an engine asked for a pause, for metrics.
   std::uint64_t pauses = 0;
   // Checks that found an engine down, for metrics.
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -184,6 +184,9 @@
   void ReportConnected();
   void HandleNotSent(const ForwardAttemptResult& result);
   void HandleRelayedAnswer(const ForwardAttemptResult& result);
+  /// Ends a request that may not be repeated. Its target may have run it, and
+  /// answered with a status that callers take as the promise that it has not.
+  void RefuseUnconfirmed(const EngineId& target, int status);
   void HandleDeclined(const ForwardAttemptResult& result);
   void HandleInterrupted(const ForwardAttemptResult& result);
   /// The prefill helper that the target blames, else the target.
--- a/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_outcome.cc
@@ -11,7 +11,8 @@
 constexpr int kStatusMisdirected = 421;
 constexpr int kStatusServerError = 500;
 
-/// Statuses with which entries state that a request has not run.
+/// Whether callers take the status as the statement that the request has not
+/// run and will not, whoever sent it.
 bool PromisesNotRun(int status) {
   constexpr std::array<int, 4> kStatuses = {408, 421, 429, 503};
   return std::find(kStatuses.begin(), kStatuses.end(), status) !=
@@ -36,7 +37,12 @@
       }
       may_have_run_ = true;
       ReportConnected();
-      const bool has_failed = result.response.status >= kStatusServerError;
+      const int status = result.response.status;
+      if (PromisesNotRun(status) && !IsIdempotent()) {
+        RefuseUnconfirmed(target, status);
+        return;
+      }
+      const bool has_failed = status >= kStatusServerError;
       // A stream that has begun takes only its continuation.
       if ((has_failed || has_begun_) && IsIdempotent()) {
         excluded_targets_.insert(target);
@@ -49,7 +55,7 @@
         AbortOrRefuse("the stream could not be resumed");
         return;
       }
-      if (!has_failed) {
+      if (!has_failed && !PromisesNotRun(status)) {
         context_.health.OnSuccess(target);
         ReportAnswered();
       }
@@ -96,10 +102,18 @@
     AbortOrRefuse("the stream could not be resumed");
     return;
   }
-  if (may_have_run_ && PromisesNotRun(result.response.status)) {
-    Refuse(ForwardRefusalType::kTargetFailed,
-           "the request may have run before another entry refused it");
-    return;
+  if (PromisesNotRun(result.response.status)) {
+    if (may_have_run_) {
+      Refuse(ForwardRefusalType::kTargetFailed,
+             "the request may have run before another entry refused it");
+      return;
+    }
+    // Entries of earlier versions pass on refusals of engines that may have run
+    // the request.
+    if (result.is_from_engine && !IsIdempotent()) {
+      RefuseUnconfirmed(plan_.target.id, result.response.status);
+      return;
+    }
   }
   // A client error may be the other entry's own.
   if (result.response.status < kStatusBadRequest) {
@@ -111,6 +125,18 @@
          "");
 }
 
+void ForwardRequest::RefuseUnconfirmed(const EngineId& target, int status) {
+  may_have_run_ = true;
+  ++context_.unconfirmed_refusals;
+  context_.log.Add("forward", "unconfirmed_refusal")
+      .Text("request", call_.id.value())
+      .Text("target", target.value())
+      .Number("status", status);
+  AbortOrRefuse(
+      "the target refused the request without the statement that it has not "
+      "run");
+}
+
 Duration ForwardRequest::GetQuarantineLeft() const {
   return context_.crash_monitor.GetQuarantineLeft(work_keys_);
 }
--- a/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/forwarding_metrics.cc
@@ -69,6 +69,8 @@
   add_counter("kingcupdrift_attempts_interrupted_in_stream_total",
               context.interrupted_streams);
   add_counter("kingcupdrift_attempts_overdue_total", context.overdue_attempts);
+  add_counter("kingcupdrift_unconfirmed_refusals_total",
+              context.unconfirmed_refusals);
   return out;
 }
 
--- a/tests/forwarding/model_engines_harness.cc
+++ b/tests/forwarding/model_engines_harness.cc
@@ -226,7 +226,7 @@
   }
   if (engine->second == kPlainService) {
     TargetResponseHead head;
-    head.status = 200;
+    head.status = plain_status;
     head.request = send.request;
     head.is_signed = true;
     send.observer->OnResponseHead(head);
--- a/tests/forwarding/model_engines_harness.h
+++ b/tests/forwarding/model_engines_harness.h
@@ -68,6 +68,9 @@
   /// Requests a second that engines name as their limit in each answer.
   std::map<EngineId, double> limits;
 
+  /// Status with which plain targets answer a request that they have run.
+  int plain_status = 200;
+
   static constexpr Duration kStep = std::chrono::milliseconds(50);
   static constexpr int kEngines = 24;
   /// Steps in which a crashed engine is away.
