Read the store's answers item by item if need be

An item whose key holds an escaped lone surrogate made each answer of the store unreadable as a whole. An entry that started never became ready, one that ran followed no change any more, and no counter or log line named the item.

Cause: the parser accepts a whole answer or nothing of it. RepairJson now leaves out the members and items that it rejects. Each is logged once and counted, and so is an answer of which nothing is usable. A listing goes on after a page that ends with such an item.

A record under a key that no header can hold names no target, and keys add no lines to the log.

--- a/src/kingcupdrift/base/log.cc
+++ b/src/kingcupdrift/base/log.cc
@@ -2,8 +2,10 @@
 
 #include <fmt/chrono.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <string>
 
 namespace kingcupdrift {
 namespace {
@@ -24,6 +26,21 @@
   return "error";
 }
 
+/// Keeps texts that other processes have written from adding lines of their
+/// own.
+std::string ReplaceControlCharacters(std::string_view text) {
+  constexpr unsigned char kDelete = 0x7f;
+  std::string out(text);
+  std::replace_if(
+      out.begin(), out.end(),
+      [](char it) {
+        const auto byte = static_cast<unsigned char>(it);
+        return byte < ' ' || byte == kDelete;
+      },
+      '?');
+  return out;
+}
+
 }  // namespace
 
 void SetLogLevel(LogLevel level) {
@@ -38,7 +55,7 @@
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   fmt::print(stderr, "{:%FT%T}Z {} {}: {}\n", now, LevelName(level), part,
-             text);
+             ReplaceControlCharacters(text));
 }
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/base/log.h
+++ b/src/kingcupdrift/base/log.h
@@ -13,8 +13,8 @@
 /// Sets the lowest level that is written. It is kInfo at start.
 void SetLogLevel(LogLevel level);
 bool IsLogged(LogLevel level);
-/// Writes one line "TIMEZ LEVEL PART: TEXT" to standard error: TIME is UTC with
-/// milliseconds, LEVEL is in lower case. The level is not checked.
+/// Writes one line "TIMEZ LEVEL PART: TEXT" to standard error: UTC with ms,
+/// LEVEL in lower case, "?" for control characters. The level is not checked.
 void WriteLog(LogLevel level, std::string_view part, std::string_view text);
 
 /// Writes log lines for one part of the program, which each line names.
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -127,6 +127,7 @@
     GatewayMetrics metrics = metrics_;
     store_sharing_.ReportTo(metrics);
     metrics.entries = peer_exchange_.CountEntries();
+    metrics.store_read_faults = deps_.store.GetReadFaults();
     metrics.store_position = mirror_.position();
     metrics.is_store_reader = mirror_.IsStoreReachable();
     metrics.is_first_reader = election_.is_first_reader();
@@ -290,6 +291,7 @@
           event.key, *record, event.position,
           event.is_restored ? Source::kRestored : Source::kWritten);
     } else {
+      ++metrics_.rejected_records;
       kLog.Warning("Ignored the entry record {}: {}.", event.key,
                    record.error().detail);
     }
@@ -327,6 +329,7 @@
     const Result<TargetRecord> record =
         deps_.decoder.DecodeTarget(event.key, event.value->value);
     if (!record) {
+      ++metrics_.rejected_records;
       kLog.Warning("Removed the target of {}: the record is not usable: {}.",
                    event.key, record.error().detail);
       forwarder_->RemoveTarget(id, true);
--- a/src/kingcupdrift/forwarding/internal/gateway_metrics.cc
+++ b/src/kingcupdrift/forwarding/internal/gateway_metrics.cc
@@ -25,6 +25,11 @@
   add("counter", "store_copy_bytes_sent_total",
       static_cast<std::int64_t>(metrics.copy_bytes_sent));
   add("counter", "store_copies_withheld_total", metrics.copies_withheld);
+  add("counter", "store_items_unreadable_total",
+      static_cast<std::int64_t>(metrics.store_read_faults.items));
+  add("counter", "store_answers_unreadable_total",
+      static_cast<std::int64_t>(metrics.store_read_faults.answers));
+  add("counter", "store_records_rejected_total", metrics.rejected_records);
   return out;
 }
 
--- a/src/kingcupdrift/forwarding/internal/gateway_metrics.h
+++ b/src/kingcupdrift/forwarding/internal/gateway_metrics.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "kingcupdrift/base/base.h"
+#include "kingcupdrift/interfaces/platform_store.h"
 
 namespace kingcupdrift {
 
@@ -25,6 +26,9 @@
   std::size_t copy_bytes_sent = 0;
   /// Such answers that were replaced by a notice, to keep the link free.
   std::int64_t copies_withheld = 0;
+  StoreReadFaults store_read_faults;
+  /// Records of targets and entries that were read and can't be used.
+  std::int64_t rejected_records = 0;
 };
 
 /// In the Prometheus text format.
--- a/src/kingcupdrift/interfaces/platform_store.h
+++ b/src/kingcupdrift/interfaces/platform_store.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_INTERFACES_PLATFORM_STORE_H_
 #define KINGCUPDRIFT_INTERFACES_PLATFORM_STORE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,6 +44,14 @@
   std::optional<StoreEra> era = std::nullopt;
 };
 
+/// What could not be read of a store's answers since the start.
+struct StoreReadFaults {
+  /// Items of listings and watches; counted each time.
+  std::uint64_t items = 0;
+  /// Answers of which nothing was used.
+  std::uint64_t answers = 0;
+};
+
 /// A running watch. Destroying it stops the events.
 class StoreWatch {
  public:
@@ -106,6 +115,9 @@
       const std::string& prefix,
       StoreVersion after,
       WatchCallback callback) = 0;
+
+  /// Zero from clients that don't count.
+  virtual StoreReadFaults GetReadFaults() const { return {}; }
 };
 
 }  // namespace kingcupdrift
--- a/tests/platform/platform_state_decoder_test.cc
+++ b/tests/platform/platform_state_decoder_test.cc
@@ -74,6 +74,25 @@
   CHECK(config->workspace_of_key.at("k2") == WorkspaceId("w"));
 }
 
+// Guards against requests whose Expected-Instance is changed or left out, since
+// no header can hold the ID.
+TEST_CASE("a record under a key that no header can hold names no target") {
+  const std::string value =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,)"
+      R"("state":"ready"})";
+  for (const char* const id :
+       {"", " ", " i-1", "i-1 ", "i-1\r\nTenant: x", "i\n1", "i\t1", "\x7f"}) {
+    CAPTURE(id);
+    CHECK_FALSE(kDecoder.DecodeTarget("servers/" + std::string(id), value));
+  }
+  CHECK_FALSE(kDecoder.DecodeTarget(std::string("servers/i\0", 10), value));
+  for (const char* const id :
+       {"i-1", "i 1", "i\xc3\xa9", "i\xef\xbf\xbd", "/"}) {
+    CAPTURE(id);
+    CHECK(kDecoder.DecodeTarget("servers/" + std::string(id), value));
+  }
+}
+
 // Failure: a priority out of range or of the wrong type reaches engines, or
 // makes the whole configuration unusable.
 TEST_CASE("priorities are decoded, clamped, and ignored if no numbers") {
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -14,7 +14,8 @@
 using nlohmann::json;
 
 /// A store server that answers calls with prepared statuses and bodies, in
-/// order, and leaves further calls unanswered.
+/// order, and leaves further calls unanswered. A body that is a JSON string is
+/// sent as the text that it holds.
 struct FakeStoreServer : NetFixture {
   FakeStoreServer() {
     server = Serve([this](std::unique_ptr<HttpExchange> exchange) {
@@ -30,8 +31,10 @@
       if (era) {
         headers.emplace_back("Store-Era", *era);
       }
-      exchange->Respond(status, headers,
-                        std::make_shared<const std::string>(ToJson(body)));
+      exchange->Respond(
+          status, headers,
+          std::make_shared<const std::string>(
+              body.is_string() ? body.get<std::string>() : ToJson(body)));
     });
     store = CreateStoreClient(*client, server->endpoint());
   }
@@ -132,6 +135,93 @@
   CHECK(events[2].value);
 }
 
+/// A key with a lone surrogate, which makes an answer no valid JSON.
+const std::string kOddItem =
+    R"({"key":"b\ud800","value":"dg==","revision":12})";
+const std::string kItemA = R"({"key":"a","value":"dg==","revision":11})";
+const std::string kItemC = R"({"key":"c","value":"dg==","revision":13})";
+
+// Guards against an entry that follows no change any more, or never starts,
+// since one item of another writer makes each answer unreadable.
+TEST_CASE("listings and watches go on after an item that is no valid JSON") {
+  FakeStoreServer fake_store;
+  const std::string items = "[" + kItemA + "," + kOddItem + "," + kItemC + "]";
+  fake_store.answers = {
+      {200, R"({"items":)" + items + R"(,"has_more":false,"at":13})"},
+      {200, R"({"events":)" + items + R"(,"at":13})"}};
+  std::optional<Result<StoreListing>> listing;
+  fake_store.store->List("", [&](auto result) { listing = std::move(result); });
+  fake_store.Await([&] { return listing.has_value(); });
+  REQUIRE(listing->has_value());
+  CHECK((*listing)->version == StoreVersion(13));
+  REQUIRE((*listing)->entries.size() == 2);
+  CHECK((*listing)->entries[0].key == "a");
+  CHECK((*listing)->entries[1].key == "c");
+  CHECK(fake_store.store->GetReadFaults().items == 1);
+
+  std::vector<StoreEvent> events;
+  const auto watch = fake_store.store->Watch(
+      "", StoreVersion(10), [&](const Result<StoreEvent>& event) {
+        REQUIRE(event.has_value());
+        events.push_back(*event);
+      });
+  fake_store.Await([&] { return fake_store.calls.size() == 3; });
+  REQUIRE(events.size() == 3);
+  CHECK(events[0].key == "a");
+  CHECK(events[1].key == "c");
+  CHECK(fake_store.calls[2].find("after=13&") != std::string::npos);
+  CHECK(fake_store.store->GetReadFaults().items == 2);
+  CHECK(fake_store.store->GetReadFaults().answers == 0);
+}
+
+TEST_CASE("a listing goes on after a page that ends with an unreadable key") {
+  for (const std::string& page : {kOddItem, kItemA + "," + kOddItem}) {
+    CAPTURE(page);
+    FakeStoreServer fake_store;
+    fake_store.answers = {
+        {200, R"({"items":[)" + page + R"(],"has_more":true,"at":13})"},
+        {200, R"({"items":[)" + kItemC + R"(],"has_more":false,"at":13})"}};
+    std::optional<Result<StoreListing>> listing;
+    fake_store.store->List("",
+                           [&](auto result) { listing = std::move(result); });
+    fake_store.Await([&] { return listing.has_value(); });
+    REQUIRE(listing->has_value());
+    CHECK((*listing)->entries.back().key == "c");
+    CHECK(fake_store.calls[1] == "GET /api/kv-range?prefix=&after=b%EF%BF%BD ");
+  }
+}
+
+// Guards against a listing without end.
+TEST_CASE("a listing whose next page is the same one fails") {
+  const std::string page =
+      R"({"items":[)" + kOddItem + R"(],"has_more":true,"at":13})";
+  FakeStoreServer fake_store;
+  fake_store.answers = {{200, page}, {200, page}};
+  std::optional<Result<StoreListing>> listing;
+  fake_store.store->List("", [&](auto result) { listing = std::move(result); });
+  fake_store.Await([&] { return listing.has_value(); });
+  REQUIRE_FALSE(listing->has_value());
+  CHECK(listing->error().code == ErrorCode::kProtocol);
+  CHECK(fake_store.calls.size() == 2);
+}
+
+TEST_CASE("answers that can't be read are counted") {
+  FakeStoreServer fake_store;
+  fake_store.answers = {
+      {200, "{"}, {200, R"({"at":3})"}, {200, R"({"items":[],"at":3})"}};
+  const auto list = [&] {
+    std::optional<Result<StoreListing>> listing;
+    fake_store.store->List("",
+                           [&](auto result) { listing = std::move(result); });
+    fake_store.Await([&] { return listing.has_value(); });
+    return *std::move(listing);
+  };
+  CHECK(list().error().code == ErrorCode::kProtocol);
+  CHECK(list().error().code == ErrorCode::kProtocol);
+  CHECK(list().has_value());
+  CHECK(fake_store.store->GetReadFaults().answers == 2);
+}
+
 // Guards against work for versions of a large value that are already replaced.
 TEST_CASE("a watch reports only the last value of a key in one answer") {
   FakeStoreServer fake_store;
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -1,7 +1,7 @@
 """Stand-ins of the users' platform for tests with real processes.
 
-A store with a fixed content, engines that answer as a test says, and a process of
-`serve-platform`. All listen on loopback.
+A store, engines that answer as a test says, and processes of `serve-platform`. All
+listen on loopback.
 """
 
 import base64
@@ -15,6 +15,7 @@
 import sys
 import threading
 import time
+import urllib.parse
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 20
@@ -26,45 +27,135 @@
         return probe.getsockname()[1]
 
 
+class QuietServer(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """A process that has ended broke its connection."""
+
+
+def encode_value(value):
+    """Base64 of the JSON of `value`, or of its bytes."""
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return base64.b64encode(data).decode()
+
+
+def replace_values(listing, values):
+    """The text of a listing with other values of some keys."""
+    answer = json.loads(listing)
+    for it in answer["items"]:
+        if it["key"] in values:
+            it["value"] = encode_value(values[it["key"]])
+    return json.dumps(answer)
+
+
 class Store:
-    """The platform's store: fixed items, watches without events, any write."""
+    """The platform's store. Its leases end only by a call, and its listings have one page."""
 
     def __init__(self, items):
-        rows = [{"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(),
-                 "revision": 5, "created": 5, "lease": 0} for key, value in sorted(items.items())]
+        self.changed = threading.Condition()
+        # Items as JSON texts, by key, and all changes with their revisions.
+        self.items, self.changes, self.leased = {}, [], {}
+        self.revision, self.next_lease = 4, 100
+        for key, value in sorted(items.items()):
+            self.put(key, value)
+        # Other values of these keys, which listings hold instead.
+        self.listed_values = {}
+        store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
-            def reply(self, body):
-                text = json.dumps(body).encode()
-                self.send_response(200)
+            def reply(self, status, text):
+                body = text.encode("utf-8", "surrogateescape")
+                self.send_response(status)
                 self.send_header("Content-Type", "application/json")
-                self.send_header("Content-Length", str(len(text)))
+                self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
-                self.wfile.write(text)
+                self.wfile.write(body)
 
-            def do_GET(self):
-                if self.path.startswith("/api/kv-range"):
-                    self.reply({"items": rows, "has_more": False, "at": 5})
-                else:
-                    time.sleep(0.2)
-                    self.reply({"events": [], "at": 5})
+            def serve(self):
+                url = urllib.parse.urlsplit(self.path)
+                query = dict(urllib.parse.parse_qsl(url.query))
+                body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+                status, text = store.answer(url.path, query, json.loads(body or b"{}"))
+                if url.path == "/api/kv-range" and store.listed_values:
+                    text = replace_values(text, store.listed_values)
+                self.reply(status, text)
 
-            def do_POST(self):
-                self.rfile.read(int(self.headers.get("Content-Length", 0)))
-                self.reply({"lease": 7, "ttl_ms": 5000, "revision": 5})
-
-            do_DELETE = do_POST
+            do_GET = do_POST = do_DELETE = serve
 
             def log_message(self, *args):
                 pass
 
-        server = http.server.ThreadingHTTPServer((HOST, 0), Handler)
-        server.daemon_threads = True
+        server = QuietServer((HOST, 0), Handler)
         self.port = server.server_address[1]
         threading.Thread(target=server.serve_forever, daemon=True).start()
 
+    def put(self, key, value, lease=0):
+        """Writes the JSON of `value`, or its bytes."""
+        self.put_text(key, json.dumps({"key": key, "value": encode_value(value),
+                                       "revision": 0, "lease": lease}))
+
+    def put_text(self, key, text):
+        """Writes an item that answers show as `text`, with its revision in place of a 0."""
+        with self.changed:
+            self.revision += 1
+            text = text.replace('"revision": 0', f'"revision": {self.revision}')
+            self.items[key] = text
+            self.changes.append((self.revision, text))
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            if self.items.pop(key, None) is not None:
+                self.revision += 1
+                self.changes.append((self.revision, json.dumps(
+                    {"key": key, "revision": self.revision, "deleted": True})))
+                self.changed.notify_all()
+
+    def answer(self, path, query, body):
+        """(status, text) of the answer to a call."""
+        if path == "/api/kv-watch":
+            after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1000
+            with self.changed:
+                self.changed.wait_for(lambda: self.revision > after, wait_s)
+                events = ",".join(text for revision, text in self.changes if revision > after)
+                return 200, f'{{"events": [{events}], "at": {self.revision}}}'
+        with self.changed:
+            if path == "/api/kv-range":
+                items = ",".join(text for key, text in sorted(self.items.items())
+                                 if key.startswith(query.get("prefix", "")))
+                return 200, f'{{"items": [{items}], "has_more": false, "at": {self.revision}}}'
+            if path == "/api/kv-key":
+                text = self.items.get(query["key"])
+                return (404, "{}") if text is None else (200, text)
+            if path == "/api/kv-txn":
+                return self.run_transaction(body)
+            if path == "/api/kv-lease":
+                self.next_lease += 1
+                self.leased[self.next_lease] = []
+                return 200, json.dumps({"lease": self.next_lease, "ttl_ms": body["ttl_ms"]})
+            lease = int(path.rsplit("/", 1)[1])
+            if path.startswith("/api/kv-lease-end/"):
+                for key in self.leased.pop(lease, []):
+                    self.remove(key)
+            return 200 if lease in self.leased else 404, "{}"
+
+    def run_transaction(self, body):
+        for it in body.get("precondition", []):
+            text = self.items.get(it["key"])
+            if (json.loads(text)["revision"] if text else 0) != it["revision"]:
+                return 412, "{}"
+        for it in body.get("writes", []):
+            lease = it.get("lease", 0)
+            if lease:
+                self.leased[lease].append(it["key"])
+            self.put(it["key"], base64.b64decode(it["value"]), lease)
+        for key in body.get("remove", []):
+            self.remove(key)
+        return 200, json.dumps({"revision": self.revision})
+
 
 class Call:
     """A request that an engine has read."""
@@ -125,19 +216,19 @@
 class Entry:
     """A process of `serve-platform`, which ends with the context."""
 
-    def __init__(self, build, folder, store, memory_mb):
+    def __init__(self, build, folder, store, memory_mb, name="entry-1", grace_s=8):
         self.port, self.ready_port, peer_port = (free_port() for _ in range(3))
-        settings = pathlib.Path(folder) / "node.json"
+        settings = pathlib.Path(folder) / f"{name}.json"
         settings.write_text(json.dumps({
-            "node_name": "entry-1", "ip_address": HOST, "zone": "a",
+            "node_name": name, "ip_address": HOST, "zone": "a",
             "listen_addresses": {"frontend": f"{HOST}:{self.port}",
                                  "ready": f"{HOST}:{self.ready_port}"},
             "internal_port_range": [peer_port, peer_port],
             "limits": {"cpu_share": 1, "cpu_cores": 1, "memory_mb": memory_mb},
-            "bounds": {"grace_period_s": 8, "ttl_max_s": 5, "retry_budget_ratio": 0.2,
+            "bounds": {"grace_period_s": grace_s, "ttl_max_s": 5, "retry_budget_ratio": 0.2,
                        "budget_window_s": 10, "budget_extra_retries": 1000},
             "platform": {"address": f"{HOST}:{store.port}"}}))
-        self.log = pathlib.Path(folder) / "entry.log"
+        self.log = pathlib.Path(folder) / f"{name}.log"
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
                 [pathlib.Path(build) / "kingcupdrift", "serve-platform"],
