Cut off no work before the last sixth of a stop

A planned stop cut off work half a second before the end of the grace period, however short that is: with 2 s, work that would have ended at 1.6 s was lost. And a prompt that waited through the stop was sent 0.3 s before its end and broken off after three events.

Cause: the time for last answers was the same for each grace period, and a waiting request was not asked again whether it can be answered in time. It is a sixth of the grace period at most now, and a request that was not sent is refused as not run if its answer would begin after the end.

--- a/src/kingcupdrift/forwarding/gateway_stopper.cc
+++ b/src/kingcupdrift/forwarding/gateway_stopper.cc
@@ -28,12 +28,12 @@
     return;
   }
   began_at_ = clock_.Now();
-  gateway_.StartDraining(limit_ - kAnswerTime);
+  gateway_.StartDraining(limit_ - GetAnswerTime(limit_));
   Check();
 }
 
 void GatewayStopper::Check() {
-  const bool is_over = GetElapsed() >= limit_ - kAnswerTime;
+  const bool is_over = GetElapsed() >= limit_ - GetAnswerTime(limit_);
   if (is_over || (IsIdle() && GetElapsed() >= kMinTime)) {
     EndRequests();
     return;
@@ -48,7 +48,7 @@
 }
 
 void GatewayStopper::CheckAnswers() {
-  if (IsIdle() || GetElapsed() >= limit_ - kExitMargin) {
+  if (IsIdle() || GetElapsed() >= limit_ - GetExitMargin(limit_)) {
     on_done_();
     return;
   }
--- a/src/kingcupdrift/forwarding/gateway_stopper.h
+++ b/src/kingcupdrift/forwarding/gateway_stopper.h
@@ -1,6 +1,7 @@
 #ifndef KINGCUPDRIFT_FORWARDING_GATEWAY_STOPPER_H_
 #define KINGCUPDRIFT_FORWARDING_GATEWAY_STOPPER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -11,9 +12,9 @@
 namespace kingcupdrift {
 
 /// Carries out a planned stop of an entry (serving process) within a limit, at
-/// which it would be killed. Requests in progress may end until `kAnswerTime`
-/// before the limit; what is left then is answered by this entry, so that no
-/// caller loses its connection without an answer.
+/// which it would be killed. Requests in progress may end until
+/// `GetAnswerTime` before the limit; what is left then is answered by this
+/// entry, so that no caller loses its connection without an answer.
 class GatewayStopper {
  public:
   /// `count_unsent` is the number of callers' exchanges whose answer is not
@@ -31,10 +32,15 @@
   /// Shortest time that a stop takes. Callers may still use a cached address
   /// answer that names this entry.
   static constexpr Duration kMinTime = std::chrono::seconds(3);
-  /// Time to answer callers whose requests have not ended.
-  static constexpr Duration kAnswerTime = std::chrono::milliseconds(500);
+  /// Time to answer callers whose requests have not ended, for this limit: at
+  /// most a sixth of it, since work that ends before that must not be cut off.
+  static constexpr Duration GetAnswerTime(Duration limit) {
+    return std::min<Duration>(std::chrono::milliseconds(500), limit / 6);
+  }
   /// The process ends this long before the limit, whatever is left.
-  static constexpr Duration kExitMargin = std::chrono::milliseconds(100);
+  static constexpr Duration GetExitMargin(Duration limit) {
+    return GetAnswerTime(limit) / 5;
+  }
 
  private:
   void Check();
--- a/src/kingcupdrift/forwarding/internal/forward_request.h
+++ b/src/kingcupdrift/forwarding/internal/forward_request.h
@@ -98,6 +98,11 @@
   };
   enum class PlacementResult { kPlaced, kMustWait, kImpossible };
 
+  /// This entry stops before the plan's first event, or before the answer by
+  /// the route's target latency. False if the request's own time limit ends
+  /// before the stop, or if the request may have run already.
+  bool WouldOutlastStop(const SendPlan& plan) const;
+
   bool Admit();
   /// Time for which neither this request nor any prompt with one of its parts
   /// may be sent.
--- a/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
+++ b/src/kingcupdrift/forwarding/internal/forward_request_placement.cc
@@ -29,6 +29,11 @@
       if (!may_start) {
         return RefuseIfTooLate();
       }
+      if (WouldOutlastStop(plan)) {
+        Refuse(ForwardRefusalType::kLeaving,
+               "this entry stops before an answer could begin");
+        return true;
+      }
       Dispatch(plan);
       return true;
     case PlacementResult::kImpossible:
@@ -41,6 +46,17 @@
   return false;
 }
 
+bool ForwardRequest::WouldOutlastStop(const SendPlan& plan) const {
+  if (!context_.stop || has_begun_ || may_have_run_ ||
+      deadline_ <= context_.stop->end) {
+    return false;
+  }
+  const Duration time_to_answer = FindEngineTiming() != nullptr
+                                      ? plan.predicted_time_to_first_event
+                                      : route_->target_latency;
+  return context_.clock.Now() + time_to_answer > context_.stop->end;
+}
+
 std::vector<const TargetRecord*> ForwardRequest::ListUntried() {
   std::vector<const TargetRecord*> untried =
       context_.directory.ListUsable(service_);
--- a/tests/forwarding/gateway_stopper_test.cc
+++ b/tests/forwarding/gateway_stopper_test.cc
@@ -17,16 +17,16 @@
 using std::chrono::seconds;
 
 constexpr Duration kLimit = seconds(6);
-constexpr Duration kEnd = kLimit - GatewayStopper::kAnswerTime;
+constexpr Duration kEnd = kLimit - GatewayStopper::GetAnswerTime(kLimit);
 
 /// One entry with the target "t1", which answers only as the test says.
 struct StopHarness : GatewayHarness {
-  StopHarness()
+  explicit StopHarness(Duration limit = kLimit)
       : GatewayHarness(1),
         stopper(
             clock,
             *nodes[0]->gateway,
-            kLimit,
+            limit,
             [this] { return unsent; },
             [this] { done_at = clock.Now(); }) {}
 
@@ -84,7 +84,7 @@
   harness.AdvanceTo(kLimit);
   REQUIRE(harness.done_at);
   CHECK(*harness.done_at - harness.began_at <=
-        kLimit - GatewayStopper::kExitMargin);
+        kLimit - GatewayStopper::GetExitMargin(kLimit));
 }
 
 TEST_CASE("the process ends only when the last answers are sent") {
@@ -110,6 +110,41 @@
   CHECK(harness.done_at);
 }
 
+// Guards against work that is cut off before the last sixth of a short limit.
+TEST_CASE("work may end until the last sixth of any limit") {
+  for (const Duration limit :
+       {milliseconds(600), milliseconds(2000), milliseconds(3000)}) {
+    CAPTURE(limit.count());
+    StopHarness harness(limit);
+    const auto asked = harness.Ask("/once/x", seconds(20));
+    harness.Begin();
+    harness.AdvanceTo(limit * 5 / 6 - milliseconds(1));
+    CHECK_FALSE(asked->IsOver());
+    harness.AdvanceTo(limit);
+    CHECK(asked->refusal);
+    REQUIRE(harness.done_at);
+    CHECK(*harness.done_at < harness.began_at + limit);
+  }
+}
+
+// Guards against a request that waits until the stop is nearly over, and is
+// then sent to an engine and cut off.
+TEST_CASE("what can't be answered before the end of a stop is not sent") {
+  StopHarness harness;
+  const auto early = harness.Ask("/once/x", seconds(20));
+  harness.nodes[0]->targets.notices->OnEngineNotice(
+      harness.nodes[0]->targets.sends.back()->target,
+      {.pause = kEnd - milliseconds(100)});
+  const auto waiting = harness.Ask("/once/x", seconds(20));
+  harness.Begin();
+  CHECK(harness.nodes[0]->targets.sends.size() == 1);
+  harness.AdvanceTo(kEnd - milliseconds(20));
+  CHECK(harness.nodes[0]->targets.sends.size() == 1);
+  CHECK_FALSE(early->IsOver());
+  REQUIRE(waiting->refusal);
+  CHECK(waiting->refusal->type == ForwardRefusalType::kLeaving);
+}
+
 // Counter-tests: the end of the stop takes nothing from requests that end.
 TEST_CASE("a stop without requests is short, and answers are passed on") {
   StopHarness idle;
