--- a/tests/platform/store_answer_test.cc
+++ b/tests/platform/store_answer_test.cc
@@ -3,6 +3,7 @@
 #include "platform/internal/store_answer.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <memory>
 #include <optional>
@@ -79,11 +80,13 @@
       "NaN"};
   for (const std::string& odd : odd_items) {
     CAPTURE(odd.substr(0, 60));
+    const std::string first = MakeItem("a", 4);
+    const std::string second = MakeItem("b", 5);
     const std::vector<std::string> bodies = {
-        odd + "," + MakeItem("a", 4) + "," + MakeItem("b", 5),
-        MakeItem("a", 4) + "," + odd + "," + MakeItem("b", 5),
-        MakeItem("a", 4) + "," + MakeItem("b", 5) + "," + odd,
-        odd + "," + MakeItem("a", 4) + "," + odd + "," + MakeItem("b", 5)};
+        fmt::format("{},{},{}", odd, first, second),
+        fmt::format("{},{},{}", first, odd, second),
+        fmt::format("{},{},{}", first, second, odd),
+        fmt::format("{0},{1},{0},{2}", odd, first, second)};
     for (std::size_t i = 0; i < bodies.size(); ++i) {
       CAPTURE(i);
       StoreAnswerReader reader;
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -1,6 +1,7 @@
 #include "platform/internal/store_client.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
 #include <vector>
@@ -145,7 +146,7 @@
 // since one item of another writer makes each answer unreadable.
 TEST_CASE("listings and watches go on after an item that is no valid JSON") {
   FakeStoreServer fake_store;
-  const std::string items = "[" + kItemA + "," + kOddItem + "," + kItemC + "]";
+  const std::string items = fmt::format("[{},{},{}]", kItemA, kOddItem, kItemC);
   fake_store.answers = {
       {200, R"({"items":)" + items + R"(,"has_more":false,"at":13})"},
       {200, R"({"events":)" + items + R"(,"at":13})"}};
