Follow the linter in a test of the store's client

Cause: a list of pages in store_client_test joined three strings with operator+, which clang-tidy rejects (performance-inefficient-string- concatenation), so that scripts/lint failed on this file.

Change: fmt::format joins them. The test checks what it checked.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -176,7 +176,8 @@
 }
 
 TEST_CASE("a listing goes on after a page that ends with an unreadable key") {
-  for (const std::string& page : {kOddItem, kItemA + "," + kOddItem}) {
+  for (const std::string& page :
+       {kOddItem, fmt::format("{},{}", kItemA, kOddItem)}) {
     CAPTURE(page);
     FakeStoreServer fake_store;
     fake_store.answers = {
