Bound what clients make a process hold before a request is read

What callers saw: 120 clients that each sent all of a body but its last byte, or a chunk size, extension or head without end, made an entry hold more than the memory of its machine, which ends it there. 600 idle connections used up the descriptors; the process then spun on its listener, wrote 0.5 GB of log in seconds and served nothing. This held for callers, readiness and directory alike.

Cause: what a client sent was counted only once its request had reached the handler. Before that it lay in the library's buffers, a segment of a kilobyte or more for each small piece, without any bound over all connections, and nothing counted connections.

Change: the server's connections are its own, on libevent's streams with Boost.Beast's parser. One ConnectionBudget for all listeners of a process counts heads, bodies, bytes behind a request, unread bytes in the kernel and connections: - Its bytes and those of the BufferBudget share two fifths of memory_mb. Beyond that, requests are answered 503 with Retry-After: stalled ones first, then the large ones that began last; those of 8,000 bytes or less only if they stall. - Clients may use three quarters of the sockets. Beyond that the connection idle for longest is closed. Without descriptors the listener pauses for 100 ms. - Parts of chunked bodies are joined, so that a small piece costs its bytes. Chunk lines and trailers are bounded by max_header_bytes. - Over-long bodies are refused by their length. After a refusal the connection is read for a bounded time, so that a reset does not overtake the answer. - Limits of a new configuration hold for the next request of an open connection. - A close that arrives as a reset is noticed while a request waits, since the connection goes on reading.

Clients inside the limits are served as before (tests/process/calm_clients).

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -115,6 +115,31 @@
              ${CMAKE_SOURCE_DIR}/tests/process/${topic} ${CMAKE_BINARY_DIR})
     set_tests_properties(process_${topic} PROPERTIES TIMEOUT 200 RUN_SERIAL ON)
   endforeach()
+  kcd_client_crowd_tests()
+endfunction()
+
+# kcd_client_crowd_tests(): adds one test for each form of a crowd of clients at each
+# listener that clients reach, and one for each form of clients inside the limits.
+function(kcd_client_crowd_tests)
+  set(forms chunks_unfinished one_chunk_unfinished length_unfinished
+      unknown_route_unfinished chunk_size_endless chunk_extension_endless
+      one_byte_chunks one_byte_pieces length_far_over chunk_far_over chunks_far_over
+      trailers_endless head_endless head_line_endless bytes_behind_a_request
+      requests_without_reading idle_connections heads_unfinished)
+  foreach(listener callers readiness directory)
+    foreach(form ${forms})
+      set(name process_crowd_${form}_at_${listener})
+      add_test(NAME ${name} COMMAND ${CMAKE_SOURCE_DIR}/tests/process/client_crowd
+                                    ${CMAKE_BINARY_DIR} ${form} ${listener})
+      set_tests_properties(${name} PROPERTIES TIMEOUT 200 RUN_SERIAL ON)
+    endforeach()
+  endforeach()
+  foreach(form one_piece small_chunks slowly burst largest_head idle_connections)
+    set(name process_calm_clients_${form})
+    add_test(NAME ${name} COMMAND ${CMAKE_SOURCE_DIR}/tests/process/calm_clients
+                                  ${CMAKE_BINARY_DIR} ${form})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 200 RUN_SERIAL ON)
+  endforeach()
 endfunction()
 
 # kcd_benches(): adds a program bench_NAME for each folder bench/NAME.
--- a/src/kingcupdrift/forwarding/internal/gathered_body.cc
+++ b/src/kingcupdrift/base/gathered_body.cc
@@ -1,4 +1,4 @@
-#include "kingcupdrift/forwarding/internal/gathered_body.h"
+#include "kingcupdrift/base/gathered_body.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,15 +21,15 @@
   }
 }
 
-std::string GatheredBody::Take() {
+std::string GatheredBody::Take(std::size_t spare) {
   std::vector<std::string> blocks = std::exchange(blocks_, {});
   const std::size_t size = std::exchange(size_, 0);
   capacity_ = 0;
-  if (blocks.size() == 1) {
+  if (blocks.size() == 1 && blocks.front().capacity() >= size + spare) {
     return std::move(blocks.front());
   }
   std::string body;
-  body.reserve(size);
+  body.reserve(size + spare);
   for (std::string& it : blocks) {
     body += it;
     it = std::string();
--- a/src/kingcupdrift/forwarding/internal/gathered_body.h
+++ b/src/kingcupdrift/base/gathered_body.h
@@ -1,5 +1,5 @@
-#ifndef KINGCUPDRIFT_FORWARDING_INTERNAL_GATHERED_BODY_H_
-#define KINGCUPDRIFT_FORWARDING_INTERNAL_GATHERED_BODY_H_
+#ifndef KINGCUPDRIFT_BASE_GATHERED_BODY_H_
+#define KINGCUPDRIFT_BASE_GATHERED_BODY_H_
 
 #include <cstddef>
 #include <string>
@@ -8,7 +8,7 @@
 
 namespace kingcupdrift {
 
-/// The body of an answer, as it arrives. It is kept in blocks: a single string
+/// A body, as it arrives. It is kept in blocks: a single string
 /// would be copied as it grows, and would leave holes of many sizes in the
 /// heap.
 class GatheredBody {
@@ -17,8 +17,9 @@
   std::size_t size() const { return size_; }
   /// Memory that the body takes, in bytes.
   std::size_t GetCapacity() const { return capacity_; }
-  /// Returns the whole body and leaves this one empty.
-  std::string Take();
+  /// Returns the whole body, with at least `spare` bytes of capacity after it,
+  /// and leaves this one empty.
+  std::string Take(std::size_t spare = 0);
 
   /// Size of a block in bytes, but for the first ones, which are smaller.
   static constexpr std::size_t kBlockBytes = 64'000;
@@ -31,4 +32,4 @@
 
 }  // namespace kingcupdrift
 
-#endif  // KINGCUPDRIFT_FORWARDING_INTERNAL_GATHERED_BODY_H_
+#endif  // KINGCUPDRIFT_BASE_GATHERED_BODY_H_
--- a/src/kingcupdrift/forwarding/forwarder.cc
+++ b/src/kingcupdrift/forwarding/forwarder.cc
@@ -272,6 +272,16 @@
     return requests_.size();
   }
 
+  HeldBytes GetHeldBytes() const override {
+    const BufferBudget& buffers = context_.buffers;
+    HeldBytes out;
+    out.held = buffers.held();
+    if (buffers.has_limit()) {
+      out.max = buffers.abort_mark();
+    }
+    return out;
+  }
+
   std::string GetMetricsText() const override {
     return FormatForwardingMetrics(context_, requests_.size());
   }
--- a/src/kingcupdrift/forwarding/forwarder.h
+++ b/src/kingcupdrift/forwarding/forwarder.h
@@ -34,6 +34,13 @@
   std::string event_version_field = {};
 };
 
+/// Bytes held for requests, callers and engines.
+struct HeldBytes {
+  ByteCount held;
+  /// Beyond it new requests are refused; absent without a limit.
+  std::optional<ByteCount> max;
+};
+
 /// All of them outlive the forwarder.
 struct ForwarderDependencies {
   Clock& clock;
@@ -156,6 +163,7 @@
   virtual void SetEntryCount(std::size_t count) = 0;
 
   virtual std::size_t CountRequestsInProgress() const = 0;
+  virtual HeldBytes GetHeldBytes() const = 0;
   /// Counters and gauges in Prometheus text exposition format.
   virtual std::string GetMetricsText() const = 0;
 };
--- a/src/kingcupdrift/forwarding/gateway.cc
+++ b/src/kingcupdrift/forwarding/gateway.cc
@@ -123,6 +123,8 @@
     return forwarder_->CountRequestsInProgress();
   }
 
+  HeldBytes GetHeldBytes() const override { return forwarder_->GetHeldBytes(); }
+
   std::string GetMetricsText() const override {
     GatewayMetrics metrics = metrics_;
     store_sharing_.ReportTo(metrics);
--- a/src/kingcupdrift/forwarding/gateway.h
+++ b/src/kingcupdrift/forwarding/gateway.h
@@ -79,6 +79,7 @@
   virtual void EndRequests() = 0;
   virtual bool IsDraining() const = 0;
   virtual std::size_t CountRequestsInProgress() const = 0;
+  virtual HeldBytes GetHeldBytes() const = 0;
   virtual std::string GetMetricsText() const = 0;
 };
 
--- a/src/kingcupdrift/forwarding/internal/forward_attempt.h
+++ b/src/kingcupdrift/forwarding/internal/forward_attempt.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "kingcupdrift/base/base.h"
-#include "kingcupdrift/forwarding/internal/gathered_body.h"
+#include "kingcupdrift/base/gathered_body.h"
 #include "kingcupdrift/forwarding/sse_framer.h"
 #include "kingcupdrift/interfaces/interfaces.h"
 
--- a/src/kingcupdrift/net/http_server.cc
+++ b/src/kingcupdrift/net/http_server.cc
@@ -1,91 +1,163 @@
 #include "kingcupdrift/net/http_server.h"
 
+#include <cerrno>
+#include <map>
+#include <optional>
 #include <utility>
 
-#include "kingcupdrift/net/internal/http_convert.h"
+#include "kingcupdrift/net/connection_budget.h"
 #include "kingcupdrift/net/internal/libevent_handles.h"
-#include "kingcupdrift/net/internal/server_exchange.h"
+#include "kingcupdrift/net/internal/server_connection.h"
 #include "kingcupdrift/net/internal/socket_address.h"
+#include "kingcupdrift/net/loop_clock.h"
 
 namespace kingcupdrift {
 namespace {
 
 const Logger kLog("http");
 
-class EvhttpServer : public HttpServer {
+constexpr int kUnavailable = 503;
+/// Time without accepting after the process has run out of descriptors or the
+/// kernel out of memory.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
+class LibeventServer : public HttpServer, private ConnectionOwner {
  public:
-  EvhttpServer(EventLoop& loop, Handler handler)
+  LibeventServer(EventLoop& loop,
+                 const HttpServerSettings& settings,
+                 Handler handler)
       : loop_(loop),
+        clock_(loop),
+        settings_(settings),
         handler_(std::move(handler)),
-        http_(evhttp_new(loop.base())) {}
-
-  Result<void> Bind(const Endpoint& endpoint,
-                    const HttpServerSettings& settings) {
-    evhttp* const http = http_.get();
-    SetLimits(settings);
-    evhttp_set_default_content_type(http, nullptr);
-    evhttp_set_allowed_methods(http, kSupportedHttpMethods);
-    evhttp_set_gencb(http, &HandleRequest, this);
-    evhttp_bound_socket* const bound = evhttp_bind_socket_with_handle(
-        http, endpoint.host.c_str(), endpoint.port);
-    if (bound == nullptr) {
+        own_budget_(clock_, ConnectionBudgetSettings()),
+        budget_(settings.budget != nullptr ? *settings.budget : own_budget_),
+        log_("http", clock_) {}
+
+  ~LibeventServer() override {
+    listener_.reset();
+    // Closing a connection removes it from the map.
+    while (!connections_.empty()) {
+      const auto connection = connections_.begin()->second;
+      connection->Close();
+    }
+  }
+
+  Result<void> Bind(const Endpoint& endpoint) {
+    std::optional<SocketAddress> address = ToSocketAddress(endpoint);
+    if (address) {
+      listener_.reset(evconnlistener_new_bind(
+          loop_.base(), &OnAccept, this,
+          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
+          address->get(), address->size));
+    }
+    if (!listener_) {
       return MakeError(ErrorCode::kUnavailable,
                        "cannot listen at " + ToString(endpoint));
     }
-    endpoint_ = {endpoint.host,
-                 GetLocalPort(evhttp_bound_socket_get_fd(bound))};
+    evconnlistener_set_error_cb(listener_.get(), &OnAcceptError);
+    const int socket = evconnlistener_get_fd(listener_.get());
+    if (settings_.receive_buffer_bytes > ByteCount(0)) {
+      // Accepted connections inherit it.
+      SetReceiveBuffer(socket, settings_.receive_buffer_bytes);
+    }
+    endpoint_ = {endpoint.host, GetLocalPort(socket)};
     return {};
   }
 
   Endpoint endpoint() const override { return endpoint_; }
 
   void SetLimits(const HttpServerSettings& settings) override {
-    evhttp* const http = http_.get();
-    evhttp_set_max_headers_size(http, settings.max_header_bytes.value());
-    evhttp_set_max_body_size(http, settings.max_body_bytes.value());
-    const timeval limit = ToTimeval(settings.inactivity_timeout);
-    evhttp_set_timeout_tv(http, &limit);
-    max_kernel_unsent_bytes_ = settings.max_kernel_unsent_bytes;
+    const ByteCount receive_buffer_bytes = settings_.receive_buffer_bytes;
+    settings_ = settings;
+    settings_.receive_buffer_bytes = receive_buffer_bytes;
   }
 
   std::size_t CountUnfinishedExchanges() const override { return *unfinished_; }
 
  private:
-  static void HandleRequest(evhttp_request* request, void* arg) {
-    auto& server = *static_cast<EvhttpServer*>(arg);
-    auto exchange =
-        CreateServerExchange(server.loop_, request, server.unfinished_,
-                             server.max_kernel_unsent_bytes_);
+  static void OnAccept(evconnlistener*,
+                       evutil_socket_t socket,
+                       sockaddr*,
+                       int,
+                       void* arg) {
+    static_cast<LibeventServer*>(arg)->Accept(socket);
+  }
+
+  static void OnAcceptError(evconnlistener*, void* arg) {
+    static_cast<LibeventServer*>(arg)->HandleAcceptError(EVUTIL_SOCKET_ERROR());
+  }
+
+  EventLoop& loop() override { return loop_; }
+  const HttpServerSettings& settings() const override { return settings_; }
+  ConnectionBudget& budget() override { return budget_; }
+  std::shared_ptr<std::size_t> unfinished_count() const override {
+    return unfinished_;
+  }
+
+  void Accept(int socket) {
+    ConnectionOwner& owner = *this;
+    const auto connection = std::make_shared<ServerConnection>(owner, socket);
+    connections_.emplace(connection.get(), connection);
+    connection->Start();
+    if (!budget_.MakeRoomFor(connection->account())) {
+      connection->Refuse(kUnavailable);
+    }
+  }
+
+  // Without a pause, the loop would run for as long as the connection waits.
+  void HandleAcceptError(int error) {
+    log_.Warning("accept", "Cannot accept a connection: {}.",
+                 evutil_socket_error_to_string(error));
+    if (error == EMFILE || error == ENFILE) {
+      budget_.EvictOne(nullptr);
+    }
+    evconnlistener_disable(listener_.get());
+    accept_timer_ = clock_.RunAfter(
+        kAcceptPause, [this] { evconnlistener_enable(listener_.get()); });
+  }
+
+  void HandleRequest(std::unique_ptr<HttpExchange> exchange) override {
     if (exchange->body()->size() < kLargeBodyBytes) {
-      server.handler_(std::move(exchange));
+      handler_(std::move(exchange));
     } else {
-      server.HandleLater(std::move(exchange));
+      HandleLater(std::move(exchange));
     }
   }
 
-  // Copying a large body out of evhttp's buffer already takes long, so the
-  // handler runs in the next loop iteration.
+  // Joining the parts of a large body already takes long, so the handler runs
+  // in the next loop iteration.
   void HandleLater(std::unique_ptr<HttpExchange> exchange) {
     // Tasks must be copyable, so a shared_ptr holds the exchange.
     const auto holder =
         std::make_shared<std::unique_ptr<HttpExchange>>(std::move(exchange));
     const std::weak_ptr<bool> alive = alive_;
     loop_.Post([this, holder, alive] {
-      if (!alive.expired()) {
+      if (!alive.expired() && !(*holder)->IsClosed()) {
         handler_(std::move(*holder));
       }
     });
   }
 
+  void Remove(ServerConnection& connection) override {
+    connections_.erase(&connection);
+  }
+
   EventLoop& loop_;
+  LoopClock clock_;
+  HttpServerSettings settings_;
   Handler handler_;
+  ConnectionBudget own_budget_;
+  ConnectionBudget& budget_;
+  RateLimitedLogger log_;
   // Expires with the server, so that pending tasks do not use it afterwards.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  // Shared with the exchanges, which may outlive the server.
+  // Shared with the connections, which may outlive the server.
   std::shared_ptr<std::size_t> unfinished_ = std::make_shared<std::size_t>(0);
-  HttpHandle http_;
   Endpoint endpoint_;
-  ByteCount max_kernel_unsent_bytes_;
+  std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
+  ListenerHandle listener_;
+  std::unique_ptr<Timer> accept_timer_;
 };
 
 }  // namespace
@@ -95,8 +167,9 @@
     const Endpoint& endpoint,
     const HttpServerSettings& settings,
     Handler handler) {
-  auto server = std::make_unique<EvhttpServer>(loop, std::move(handler));
-  const Result<void> bound = server->Bind(endpoint, settings);
+  auto server =
+      std::make_unique<LibeventServer>(loop, settings, std::move(handler));
+  const Result<void> bound = server->Bind(endpoint);
   if (!bound) {
     return tl::unexpected(bound.error());
   }
--- a/src/kingcupdrift/net/http_server.h
+++ b/src/kingcupdrift/net/http_server.h
@@ -13,8 +13,11 @@
 
 namespace kingcupdrift {
 
+class ConnectionBudget;
+
 struct HttpServerSettings {
-  /// Requests with larger headers are answered with 400.
+  /// Requests with larger headers are answered with 400. The line ends are not
+  /// counted.
   ByteCount max_header_bytes{32'000};
   /// Requests with a larger body are answered with 413.
   ByteCount max_body_bytes{8'000'000};
@@ -25,6 +28,15 @@
   /// them, so that a caller that reads nothing costs little there. Zero: the
   /// kernel's default, up to some megabytes.
   ByteCount max_kernel_unsent_bytes{0};
+  /// Receive buffer that the kernel gives each connection until a large body
+  /// arrives on it. Zero: the kernel's default, up to some megabytes.
+  ByteCount receive_buffer_bytes{0};
+  /// Counts the connections and what they hold, with those of other servers of
+  /// the process; outlives the server. Null: one of the server's own, which
+  /// bounds nothing.
+  ConnectionBudget* budget = nullptr;
+  /// Counts the unsent bytes of responses in `budget` too.
+  bool is_budgeting_responses = false;
 };
 
 /// From this size on, reading, parsing and routing a request body run in
@@ -106,7 +118,8 @@
 
   /// The address that the server listens at, with the port that was picked.
   virtual Endpoint endpoint() const = 0;
-  /// Changes the limits of connections accepted from now on.
+  /// Changes the limits of requests that begin from now on, on open connections
+  /// too. `budget` and `receive_buffer_bytes` stay as they are.
   virtual void SetLimits(const HttpServerSettings& settings) = 0;
   /// Exchanges without a complete response, and responses with unsent bytes.
   virtual std::size_t CountUnfinishedExchanges() const = 0;
--- a/src/kingcupdrift/net/internal/server_exchange.h
+++ b/src/kingcupdrift/net/internal/server_exchange.h
@@ -3,21 +3,17 @@
 
 #include <memory>
 
-#include "kingcupdrift/net/event_loop.h"
 #include "kingcupdrift/net/http_server.h"
-
-struct evhttp_request;
+#include "kingcupdrift/net/internal/request_parser.h"
 
 namespace kingcupdrift {
 
-/// Wraps a request that evhttp has read completely. `*unfinished_count` is
-/// raised by one until the response was sent or the exchange is destroyed. See
-/// `HttpServerSettings` for `max_kernel_unsent_bytes`.
-std::unique_ptr<HttpExchange> CreateServerExchange(
-    EventLoop& loop,
-    evhttp_request* request,
-    std::shared_ptr<std::size_t> unfinished_count,
-    ByteCount max_kernel_unsent_bytes);
+class ServerConnection;
+
+/// Makes the exchange of a complete request, whose parts it moves out of
+/// `request`. It may outlive the connection.
+std::unique_ptr<HttpExchange> CreateServerExchange(ServerConnection& connection,
+                                                   RequestParser& request);
 
 }  // namespace kingcupdrift
 
--- a/src/kingcupdrift/net/internal/socket_address.cc
+++ b/src/kingcupdrift/net/internal/socket_address.cc
@@ -4,6 +4,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 namespace kingcupdrift {
@@ -61,6 +62,17 @@
   return ByteCount(ioctl(socket, FIONREAD, &bytes) == 0 ? bytes : 0);
 }
 
+void SetReceiveBuffer(int socket, ByteCount bytes) {
+  const int value = static_cast<int>(bytes.value());
+  setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
+}
+
+bool IsPeerClosed(int socket) {
+  pollfd state{socket, POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void SetResetOnClose(int socket) {
   const linger at_once{1, 0};
   setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
--- a/src/kingcupdrift/net/internal/socket_address.h
+++ b/src/kingcupdrift/net/internal/socket_address.h
@@ -38,6 +38,14 @@
 /// failure.
 ByteCount GetArrivedBytes(int socket);
 
+/// Sets the bytes that the kernel receives before they are read; it may take
+/// twice as many.
+void SetReceiveBuffer(int socket, ByteCount bytes);
+
+/// True if the other side has closed or reset the connection, also while bytes
+/// are unread.
+bool IsPeerClosed(int socket);
+
 /// Makes closing the socket drop its unsent bytes and reset the connection.
 void SetResetOnClose(int socket);
 
--- a/src/kingcupdrift/net/net.h
+++ b/src/kingcupdrift/net/net.h
@@ -6,6 +6,7 @@
 /// clients of the platform and of engines, and the links between entries
 /// (serving processes).
 
+#include "kingcupdrift/net/connection_budget.h"     // IWYU pragma: export
 #include "kingcupdrift/net/engine_http_client.h"    // IWYU pragma: export
 #include "kingcupdrift/net/entry_process.h"         // IWYU pragma: export
 #include "kingcupdrift/net/event_loop.h"            // IWYU pragma: export
--- a/tests/forwarding/gathered_body_test.cc
+++ b/tests/base/gathered_body_test.cc
@@ -1,4 +1,4 @@
-#include "kingcupdrift/forwarding/internal/gathered_body.h"
+#include "kingcupdrift/base/gathered_body.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/platform_standins.py
+++ b/tests/process/platform_standins.py
@@ -19,6 +19,8 @@
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 20
+# Set by the program.
+METRICS_PORT = 9464
 
 
 def free_port():
@@ -216,15 +218,23 @@
 class Entry:
     """A process of `serve-platform`, which ends with the context."""
 
-    def __init__(self, build, folder, store, memory_mb, name="entry-1", grace_s=8):
-        self.port, self.ready_port, peer_port = (free_port() for _ in range(3))
+    def __init__(self, build, folder, store, memory_mb, name="entry-1", grace_s=8,
+                 descriptors=None):
+        self.port, self.ready_port, directory_port, peer_port = (free_port() for _ in range(4))
+        # By the listeners that clients or the platform reach.
+        self.ports = {"callers": self.port, "readiness": self.ready_port,
+                      "directory": directory_port, "peers": peer_port, "metrics": METRICS_PORT}
+        limits = {"cpu_share": 1, "cpu_cores": 1, "memory_mb": memory_mb}
+        if descriptors is not None:
+            limits["file_descriptors"] = descriptors
         settings = pathlib.Path(folder) / f"{name}.json"
         settings.write_text(json.dumps({
             "node_name": name, "ip_address": HOST, "zone": "a",
             "listen_addresses": {"frontend": f"{HOST}:{self.port}",
-                                 "ready": f"{HOST}:{self.ready_port}"},
+                                 "ready": f"{HOST}:{self.ready_port}",
+                                 "directory": f"{HOST}:{directory_port}"},
             "internal_port_range": [peer_port, peer_port],
-            "limits": {"cpu_share": 1, "cpu_cores": 1, "memory_mb": memory_mb},
+            "limits": limits,
             "bounds": {"grace_period_s": grace_s, "ttl_max_s": 5, "retry_budget_ratio": 0.2,
                        "budget_window_s": 10, "budget_extra_retries": 1000},
             "platform": {"address": f"{HOST}:{store.port}"}}))
@@ -256,17 +266,29 @@
     def is_running(self):
         return self.process.poll() is None
 
-    def read_peak_memory_bytes(self):
+    def read_status_bytes(self, field):
         for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith("VmHWM:"):
+            if line.startswith(field + ":"):
                 return int(line.split()[1]) * 1024
-        sys.exit("the peak of the process's memory is not known")
+        sys.exit(f"{field} of the process is not known")
+
+    def read_peak_memory_bytes(self):
+        return self.read_status_bytes("VmHWM")
+
+    def read_memory_bytes(self):
+        return self.read_status_bytes("VmRSS")
+
+    def count_descriptors(self):
+        return len(list(pathlib.Path(f"/proc/{self.process.pid}/fd").iterdir()))
+
+    def read_log_end(self):
+        return self.log.read_text(errors="replace")[-4000:]
 
-    def ask(self, path, request, headers=None, method="POST", timeout_s=30):
+    def ask(self, path, request, headers=None, method="POST", timeout_s=30, port=None, body=b"x"):
         """(status, headers, body) of the answer, or (0, {}, what was wrong)."""
-        connection = http.client.HTTPConnection(HOST, self.port, timeout=timeout_s)
+        connection = http.client.HTTPConnection(HOST, port or self.port, timeout=timeout_s)
         try:
-            connection.request(method, path, body=b"x", headers={
+            connection.request(method, path, body=body, headers={
                 "Host": "example", "Request-Id": request, "Deadline-Milliseconds": "15000",
                 **(headers or {})})
             response = connection.getresponse()
