Reject engines' answers whose head is not valid HTTP

Cause: libevent takes what it can make a number of, and the first of several lengths. Neither adapter checked the form of a head.

Change: the HTTP client checks the status line's first bytes and the headers where an answer is decoded, for both adapters. Such an answer counts as none: the call fails as if the connection had been lost before the head, so that idempotent requests go to another engine, others get 502, and the engine is avoided after two. The counter is kingcupdrift_invalid_answers_total.

--- a/src/kingcupdrift/net/http_client.cc
+++ b/src/kingcupdrift/net/http_client.cc
@@ -98,6 +98,9 @@
   ByteCount BytesSent() const override {
     return ByteCount(pool_.counters().bytes_sent);
   }
+  std::uint64_t CountInvalidHeads() const override {
+    return pool_.counters().invalid_heads;
+  }
 
  private:
   ByteCount max_response_bytes_;
--- a/src/kingcupdrift/net/http_client.h
+++ b/src/kingcupdrift/net/http_client.h
@@ -119,6 +119,9 @@
   /// Bytes read from and written to all connections so far, headers included.
   virtual ByteCount BytesReceived() const = 0;
   virtual ByteCount BytesSent() const = 0;
+  /// Responses so far whose head was not valid HTTP. Such a call fails as if
+  /// the connection had been lost before the head.
+  virtual std::uint64_t CountInvalidHeads() const = 0;
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/internal/client_call.cc
+++ b/src/kingcupdrift/net/internal/client_call.cc
@@ -67,6 +67,12 @@
                                            " exceeds a limit");
       return;
     }
+    if (end == ResponseEnd::kInvalidHead) {
+      Fail(GetConnectionFailureCode(),
+           "the response from " + ToString(request_.server) +
+               " is not valid: " + connection_->head_fault());
+      return;
+    }
     if (ShouldRetry()) {
       DiscardConnection();
       Connect(pool_.CreateNew(request_.server));
--- a/src/kingcupdrift/net/internal/client_connection.cc
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -1,9 +1,11 @@
 #include "kingcupdrift/net/internal/client_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 
 #include "kingcupdrift/net/internal/http_convert.h"
+#include "kingcupdrift/net/internal/response_check.h"
 #include "kingcupdrift/net/internal/socket_address.h"
 
 namespace kingcupdrift {
@@ -58,6 +60,7 @@
   delegate_ = &delegate;
   is_sent_ = false;
   has_head_ = false;
+  status_line_.clear();
   head_bytes_ = 0;
   response_bytes_ = 0;
   max_response_bytes_ =
@@ -103,11 +106,19 @@
   // Bytes of the body may have come with the head.
   const evbuffer* const input = bufferevent_get_input(self.stream());
   self.head_bytes_ -= std::min(self.head_bytes_, evbuffer_get_length(input));
-  if (self.delegate_ != nullptr) {
-    self.delegate_->HandleHeaders(
-        evhttp_request_get_response_code(request),
-        ToHeaderList(evhttp_request_get_input_headers(request)));
+  if (self.delegate_ == nullptr) {
+    return 0;
+  }
+  const HeaderList headers =
+      ToHeaderList(evhttp_request_get_input_headers(request));
+  self.head_fault_ = FindHeadFault(self.status_line_, headers);
+  if (self.head_fault_ != nullptr) {
+    ++self.counters_.invalid_heads;
+    self.delegate_->HandleEnd(ResponseEnd::kInvalidHead);
+    return 0;
   }
+  self.delegate_->HandleHeaders(evhttp_request_get_response_code(request),
+                                headers);
   return 0;
 }
 
@@ -159,10 +170,25 @@
                                const evbuffer_cb_info* info,
                                void* arg) {
   auto& self = *static_cast<ClientConnection*>(arg);
+  if (info->n_added > 0) {
+    self.KeepStatusLine(buffer);
+  }
   self.counters_.bytes_received += static_cast<std::int64_t>(info->n_added);
   self.CountInput(evbuffer_get_length(buffer), info->n_added);
 }
 
+void ClientConnection::KeepStatusLine(evbuffer* buffer) {
+  // The line stays in the buffer until it is whole.
+  if (status_line_.size() >= kStatusBytes ||
+      status_line_.find('\n') != std::string::npos) {
+    return;
+  }
+  std::array<char, kStatusBytes> bytes{};
+  const ev_ssize_t size = evbuffer_copyout(buffer, bytes.data(), bytes.size());
+  status_line_.assign(bytes.data(),
+                      static_cast<std::size_t>(std::max<ev_ssize_t>(size, 0)));
+}
+
 void ClientConnection::CountInput(std::size_t unread_bytes,
                                   std::size_t added_bytes) {
   head_bytes_ += has_head_ ? 0 : added_bytes;
--- a/src/kingcupdrift/net/internal/client_connection.h
+++ b/src/kingcupdrift/net/internal/client_connection.h
@@ -15,6 +15,8 @@
 struct TrafficCounters {
   std::int64_t bytes_sent = 0;
   std::int64_t bytes_received = 0;
+  /// Responses whose head is not valid HTTP.
+  std::uint64_t invalid_heads = 0;
 };
 
 /// How a request on a connection ended.
@@ -25,6 +27,8 @@
   kBroken,
   /// The response exceeds a limit of `ClientConnection`.
   kTooLarge,
+  /// The response's head is not valid HTTP.
+  kInvalidHead,
 };
 
 /// Receives the events of the request that a connection carries.
@@ -67,6 +71,8 @@
   /// True if the connection is open and has no unread bytes.
   bool IsReusable() const;
   const Endpoint& server() const { return server_; }
+  /// What makes the response's head invalid; null if nothing does.
+  const char* head_fault() const { return head_fault_; }
 
   /// Most bytes up to the end of the response head, interim responses included.
   static constexpr std::size_t kMaxHeadBytes = 128'000;
@@ -85,6 +91,8 @@
                       const evbuffer_cb_info* info,
                       void* arg);
 
+  /// Keeps the start of the response's status line.
+  void KeepStatusLine(evbuffer* buffer);
   void CountInput(std::size_t unread_bytes, std::size_t added_bytes);
   void ReportWaitingBytes(std::size_t unread_bytes);
   bufferevent* stream() const;
@@ -95,6 +103,9 @@
   ConnectionDelegate* delegate_ = nullptr;
   bool is_sent_ = false;
   bool has_head_ = false;
+  // The first `kStatusBytes` of the response.
+  std::string status_line_;
+  const char* head_fault_ = nullptr;
   // Bytes received before the end of the response head.
   std::size_t head_bytes_ = 0;
   std::size_t response_bytes_ = 0;
--- a/src/kingcupdrift/net/internal/process_metrics.cc
+++ b/src/kingcupdrift/net/internal/process_metrics.cc
@@ -81,6 +81,10 @@
   out.WriteTraffic("platform", sources.platform);
   out.WriteTraffic("engine_control", sources.engine_control);
   out.WriteTraffic("engine_data", sources.engine_data);
+  out.Declare("invalid_answers_total", "counter");
+  out.Write("invalid_answers_total",
+            sources.engine_control.CountInvalidHeads() +
+                sources.engine_data.CountInvalidHeads());
   const PeerLinkCounters& counters = sources.peers.counters();
   out.WriteTraffic("peers", static_cast<std::int64_t>(counters.bytes_received),
                    static_cast<std::int64_t>(counters.bytes_sent));
