Bound serve's clients, and count reserved bodies once

serve had no bound at all: 60 clients with unfinished bodies of 2 MB took it to 136 MB of the 84 MB that process_serve_crowd allows, now to 43 MB.

The kernel's bytes of a body whose memory is reserved were counted twice, so that one of 14 bodies of 4 MB at once was refused at memory_mb 160; now all are served. A refused request whose sampled bytes were still counted could be closed before its client had read the answer. The enlarged receive buffer is 256,000 bytes, so that 14 chunked bodies fit too.

--- a/src/kingcupdrift/cli/internal/flag_table.cc
+++ b/src/kingcupdrift/cli/internal/flag_table.cc
@@ -35,6 +35,11 @@
           drain_limit,
           "11m",
           "Longest wait for requests in progress when stopping.");
+ABSL_FLAG(std::string,
+          client_memory_mb,
+          "1024",
+          "Megabytes that requests may take before they are read whole; 0 "
+          "means no bound.");
 ABSL_FLAG(std::string,
           random_seed,
           "0",
@@ -72,6 +77,7 @@
 constexpr Duration kMaxLifetime = std::chrono::hours(1);
 constexpr Duration kMaxDrain = std::chrono::hours(24);
 constexpr Duration kMaxTimeLimit = std::chrono::minutes(10);
+constexpr std::uint64_t kMaxClientMegabytes = 1'000'000;
 constexpr std::uint64_t kMaxHistory = 1'000'000;
 
 bool IsAnything(std::string_view /*text*/) {
@@ -120,6 +126,10 @@
   return ec == std::errc() && rest == end && n <= max;
 }
 
+bool IsClientMemory(std::string_view text) {
+  return IsNumberUpTo(text, kMaxClientMegabytes);
+}
+
 bool IsSeed(std::string_view text) {
   return IsNumberUpTo(text, UINT64_MAX);
 }
@@ -194,6 +204,7 @@
        true},
       {"entries_lifetime", "duration", "1s to 1h", IsLifetime, {kServe}},
       {"drain_limit", "duration", "0s to 24h", IsDrainLimit, {kServe}},
+      {"client_memory_mb", "number", "0 to 1000000", IsClientMemory, {kServe}},
       {"random_seed", "number", "0 to 18446744073709551615", IsSeed, {kServe}},
       {"log_level",
        "LEVEL",
--- a/src/kingcupdrift/cli/internal/serve_settings.cc
+++ b/src/kingcupdrift/cli/internal/serve_settings.cc
@@ -77,6 +77,9 @@
   settings.shared_secret = GetFlagText("shared_secret");
   settings.entries_lifetime = ParseDurationFlag("entries_lifetime");
   settings.drain_limit = ParseDurationFlag("drain_limit");
+  constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
+  settings.max_client_bytes = ByteCount(static_cast<std::int64_t>(
+      ParseNumberFlag("client_memory_mb") * kBytesPerMegabyte));
   settings.random_seed = ParseNumberFlag("random_seed");
   return settings;
 }
--- a/src/kingcupdrift/entry/entry_settings.h
+++ b/src/kingcupdrift/entry/entry_settings.h
@@ -30,6 +30,9 @@
   /// Longest drain. After it the process exits and cuts off the requests still
   /// in progress; `Entry` itself does not enforce it.
   Duration drain_limit = std::chrono::minutes(11);
+  /// Bytes that requests of clients may take together before they are read
+  /// whole; 0 means no bound. `Entry` itself does not enforce it.
+  ByteCount max_client_bytes{1'024'000'000};
   /// Seed of the entry's random numbers; 0 takes a seed from the system.
   std::uint64_t random_seed = 0;
 };
--- a/src/kingcupdrift/net/connection_budget.cc
+++ b/src/kingcupdrift/net/connection_budget.cc
@@ -168,6 +168,8 @@
                  "of {}.",
                  account->held().value(), held_.value(),
                  GetByteLimit().value());
+    // These bytes are dropped, or go with the connection.
+    account->SetInKernel(ByteCount(0));
     account->connection_.Shed();
   }
   is_shedding_ = false;
--- a/src/kingcupdrift/net/entry_process.cc
+++ b/src/kingcupdrift/net/entry_process.cc
@@ -1,10 +1,13 @@
 #include "kingcupdrift/net/entry_process.h"
 
+#include <sys/resource.h>
+
 #include <csignal>
 #include <memory>
 #include <random>
 #include <utility>
 
+#include "kingcupdrift/net/connection_budget.h"
 #include "kingcupdrift/net/engine_http_client.h"
 #include "kingcupdrift/net/event_loop.h"
 #include "kingcupdrift/net/http_server.h"
@@ -37,6 +40,22 @@
   return out;
 }
 
+ConnectionBudgetSettings MakeConnectionBudgetSettings(
+    const EntrySettings& settings) {
+  ConnectionBudgetSettings out;
+  if (settings.max_client_bytes > ByteCount(0)) {
+    out.max_bytes = settings.max_client_bytes;
+  }
+  // A quarter of the descriptors is left for engines, peers and the platform.
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+      limit.rlim_cur != RLIM_INFINITY) {
+    out.max_connections = static_cast<std::size_t>(limit.rlim_cur) -
+                          static_cast<std::size_t>(limit.rlim_cur) / 4;
+  }
+  return out;
+}
+
 StoreClientSettings MakeStoreClientSettings(const EntrySettings& settings) {
   StoreClientSettings out;
   out.endpoint = settings.store_endpoint;
@@ -78,13 +97,16 @@
         *entry_, loop_, clock_, settings_.shared_secret, [this] {
           return ProcessMetricsText({loop_, *platform_http_,
                                      *engine_control_http_, *engine_data_http_,
-                                     *peers_});
-        });
-    auto server = HttpServer::Listen(
-        loop_, settings_.caller_endpoint, HttpServerSettings(),
-        [this](std::unique_ptr<HttpExchange> exchange) {
-          callers_->Handle(std::move(exchange));
+                                     *peers_}) +
+                 FormatConnectionMetrics(connections_);
         });
+    HttpServerSettings server_settings;
+    server_settings.budget = &connections_;
+    auto server =
+        HttpServer::Listen(loop_, settings_.caller_endpoint, server_settings,
+                           [this](std::unique_ptr<HttpExchange> exchange) {
+                             callers_->Handle(std::move(exchange));
+                           });
     if (!server) {
       kLog.Error("{}.", server.error().detail);
       return false;
@@ -129,6 +151,8 @@
   EventLoop loop_;
   LoopClock clock_{loop_};
   SeededRandom random_;
+  ConnectionBudget connections_{clock_,
+                                MakeConnectionBudgetSettings(settings_)};
   int exit_code_ = kExitSuccess;
   MonotonicTime drain_end_{};
   std::unique_ptr<HttpClient> platform_http_ =
--- a/src/kingcupdrift/net/internal/request_parser.cc
+++ b/src/kingcupdrift/net/internal/request_parser.cc
@@ -111,6 +111,7 @@
   // their end.
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          beast::error_code&) override {
+    has_reserved_body = length.has_value();
     if (length) {
       sized_body.reserve(static_cast<std::size_t>(*length) +
                          limits.body_padding);
@@ -154,6 +155,7 @@
   bool is_http_1_1 = false;
   bool has_encoding = false;
   bool has_head = false;
+  bool has_reserved_body = false;
 };
 
 RequestParser::RequestParser(const RequestLimits& limits)
@@ -231,8 +233,8 @@
          !expects_continue();
 }
 
-bool RequestParser::has_length() const {
-  return !impl_->chunked();
+bool RequestParser::has_reserved_body() const {
+  return impl_->has_reserved_body;
 }
 
 ByteCount RequestParser::GetHeldBytes() const {
--- a/src/kingcupdrift/net/internal/request_parser.h
+++ b/src/kingcupdrift/net/internal/request_parser.h
@@ -49,10 +49,10 @@
   /// The `Expect` header has a value that is not supported.
   bool has_unknown_expectation() const;
 
-  /// The length of the body is known from the head.
-  bool has_length() const;
-  /// Memory of the head and the body: the whole body if its length is known and
-  /// a byte of it has come, otherwise what has come of it.
+  /// Memory for the whole body is reserved, since its length is known.
+  bool has_reserved_body() const;
+  /// Memory of the head and the body: the whole body if it is reserved,
+  /// otherwise what has come of it.
   ByteCount GetHeldBytes() const;
 
   /// Move the parts of the request out of the parser.
--- a/src/kingcupdrift/net/internal/server_connection.cc
+++ b/src/kingcupdrift/net/internal/server_connection.cc
@@ -25,7 +25,7 @@
 /// What a connection takes besides the bytes that it has received.
 constexpr ByteCount kConnectionBytes{2'000};
 /// Receive buffer of a connection on which a large body arrives.
-constexpr ByteCount kLargeReceiveBufferBytes{512'000};
+constexpr ByteCount kLargeReceiveBufferBytes{256'000};
 /// After a refusal the connection is read for this time and so many bytes at
 /// most. A reset, which unread bytes would cause, may overtake the response.
 constexpr Duration kRefusalTime = std::chrono::seconds(10);
@@ -198,6 +198,9 @@
 void ServerConnection::Refuse(int status) {
   parser_.reset();
   phase_ = Phase::kRefused;
+  if (std::exchange(has_large_receive_buffer_, false)) {
+    SetReceiveBuffer(socket(), owner_.settings().receive_buffer_bytes);
+  }
   keeps_alive_ = false;
   is_http_1_1_ = true;
   HeaderList headers = {{"Content-Type", "text/plain"}};
@@ -252,6 +255,11 @@
     Close();
     return ByteCount(0);
   }
+  // The kernel's bytes of a reserved body are counted already, and those of a
+  // refused request are dropped.
+  if (phase_ == Phase::kRefused || (parser_ && parser_->has_reserved_body())) {
+    return ByteCount(0);
+  }
   return GetArrivedBytes(socket());
 }
 
@@ -297,8 +305,7 @@
   if (parser_) {
     held += parser_->GetHeldBytes();
   }
-  // Bytes of a body whose length is known are counted before they arrive.
-  if (has_large_receive_buffer_ && parser_ && !parser_->has_length()) {
+  if (has_large_receive_buffer_ && parser_ && !parser_->has_reserved_body()) {
     held += kLargeReceiveBufferBytes;
   }
   if (owner_.settings().is_budgeting_responses) {
