--- a/src/kingcupdrift/net/internal/server_connection.cc
+++ b/src/kingcupdrift/net/internal/server_connection.cc
@@ -223,7 +223,9 @@
   const timeval limit = ToTimeval(kRefusalTime);
   event_add(refusal_timer_.get(), &limit);
   DropInput();
-  UpdateAccount();
+  if (phase_ == Phase::kRefused) {
+    UpdateAccount();
+  }
 }
 
 void ServerConnection::Close() {
