Stop reading while bytes behind a request fill the buffer

What callers saw: one client that sends more than 49,152 bytes behind a request made the process use a whole core until the request was answered; other answers were late.

Cause: while a request is handled or its response is being sent, what the client sends stays in the input buffer. libevent calls the read callback in each iteration of the loop for as long as the buffer is at its high watermark and reading is enabled, and the callback takes nothing. Nothing else ended that, and libevent does not return from an iteration meanwhile, so that no log line told of it.

Change: the connection disables reading while the buffer is full and a response is under way. The samples of ConnectionBudget, which find out that such a client has left, are taken for servers without a byte limit too.

Evidence: busy_loop_test counts iterations of the loop while nothing happens, 60 allowed in 0.3 s.

--- a/src/kingcupdrift/net/connection_budget.cc
+++ b/src/kingcupdrift/net/connection_budget.cc
@@ -85,7 +85,7 @@
 }
 
 bool ConnectionBudget::NeedsSamples() const {
-  return has_byte_limit() && (blocked_ > 0 || !HasAmpleRoom(ByteCount(0)));
+  return blocked_ > 0 || !HasAmpleRoom(ByteCount(0));
 }
 
 void ConnectionBudget::ScheduleSample() {
--- a/src/kingcupdrift/net/connection_budget.h
+++ b/src/kingcupdrift/net/connection_budget.h
@@ -129,7 +129,8 @@
   static constexpr ByteCount kLargeRequestBytes{64'000};
   static constexpr ByteCount kSmallRequestBytes{8'000};
   /// Interval of the samples of the kernel's bytes, which are taken while the
-  /// connections hold more than half of what they may or one is blocked.
+  /// connections hold more than half of what they may or one is blocked. They
+  /// also find out that the client of a blocked connection has left.
   static constexpr Duration kSampleInterval = std::chrono::milliseconds(200);
 
  private:
--- a/src/kingcupdrift/net/internal/server_connection.cc
+++ b/src/kingcupdrift/net/internal/server_connection.cc
@@ -20,7 +20,8 @@
 constexpr std::array<std::string_view, 7> kSupportedMethods = {
     "GET", "POST", "HEAD", "PUT", "DELETE", "OPTIONS", "PATCH"};
 
-/// Most bytes of input that are read while a request is being handled.
+/// From this many bytes of input behind a request that is being handled, the
+/// connection counts as blocked.
 constexpr std::size_t kMaxWaitingBytes = 16'384;
 /// What a connection takes besides the bytes that it has received.
 constexpr ByteCount kConnectionBytes{2'000};
@@ -91,10 +92,23 @@
   }
   if (phase_ != Phase::kClosed) {
     seen_input_ = evbuffer_get_length(input());
+    UpdateReading();
     UpdateAccount();
   }
 }
 
+void ServerConnection::UpdateReading() {
+  const bool is_full = IsResponding() && seen_input_ >= input_limit_;
+  if (std::exchange(is_reading_paused_, is_full) == is_full) {
+    return;
+  }
+  if (is_full) {
+    bufferevent_disable(stream_.get(), EV_READ);
+  } else {
+    bufferevent_enable(stream_.get(), EV_READ);
+  }
+}
+
 void ServerConnection::DropInput() {
   dropped_bytes_ += evbuffer_get_length(input());
   evbuffer_drain(input(), evbuffer_get_length(input()));
@@ -179,10 +193,8 @@
 }
 
 void ServerConnection::HandleEvent(short events) {
-  const bool is_responding =
-      phase_ == Phase::kHandling || phase_ == Phase::kEnding;
   if ((events & BEV_EVENT_TIMEOUT) != 0 && (events & BEV_EVENT_READING) != 0 &&
-      is_responding) {
+      IsResponding()) {
     // The client waits for the response. The timeout has disabled reading.
     bufferevent_enable(stream_.get(), EV_READ);
     return;
@@ -299,9 +311,7 @@
 void ServerConnection::UpdateAccount() {
   EnlargeReceiveBuffer();
   const std::size_t waiting = evbuffer_get_length(input());
-  account_->SetBlocked(
-      (phase_ == Phase::kHandling || phase_ == Phase::kEnding) &&
-      waiting >= kMaxWaitingBytes);
+  account_->SetBlocked(IsResponding() && waiting >= kMaxWaitingBytes);
   ByteCount held = kConnectionBytes + head_bytes_ +
                    ByteCount(static_cast<std::int64_t>(waiting));
   if (parser_) {
--- a/src/kingcupdrift/net/internal/server_connection.h
+++ b/src/kingcupdrift/net/internal/server_connection.h
@@ -46,7 +46,8 @@
 
 /// One connection of a client: reads requests, one at a time, and writes their
 /// responses. It goes on reading while a request is being handled, up to a
-/// bound, so that it learns when the client leaves.
+/// bound, so that it learns when the client leaves. Beyond the bound the
+/// samples of the budget find that out.
 class ServerConnection : public BudgetedConnection,
                          public std::enable_shared_from_this<ServerConnection> {
  public:
@@ -98,6 +99,10 @@
   static void OnEvent(bufferevent* stream, short events, void* arg);
 
   void ReadInput();
+  /// Stops reading while the input that waits for the end of a response fills
+  /// the buffer. libevent would call `OnRead` in each iteration of the loop,
+  /// for as long as the buffer is full and reading is enabled.
+  void UpdateReading();
   void DropInput();
   void ParseInput();
   /// Refuses a request that cannot be served, or answers 100.
@@ -114,6 +119,9 @@
   void EnlargeReceiveBuffer();
   void Write(std::string_view bytes);
   void UpdateAccount();
+  bool IsResponding() const {
+    return phase_ == Phase::kHandling || phase_ == Phase::kEnding;
+  }
   int socket() const { return bufferevent_getfd(stream_.get()); }
   evbuffer* input() const { return bufferevent_get_input(stream_.get()); }
   evbuffer* output() const { return bufferevent_get_output(stream_.get()); }
@@ -128,7 +136,9 @@
   bool has_large_receive_buffer_ = false;
   // Bytes in the input buffer that count as progress already.
   std::size_t seen_input_ = 0;
+  // Size from which on the input buffer is full.
   std::size_t input_limit_ = 0;
+  bool is_reading_paused_ = false;
 
   // The request that is being handled.
   ResponseObserver* observer_ = nullptr;
--- a/tests/net/net_fixture.h
+++ b/tests/net/net_fixture.h
@@ -99,6 +99,8 @@
     }
     return n == 0 || (n < 0 && errno != EAGAIN);
   }
+  /// Sends no more; the other direction stays open.
+  void ShutDownWriting() { shutdown(fd_, SHUT_WR); }
   /// Closes the connection with a reset.
   void Reset() {
     const linger at_once{1, 0};
