Pause the listener for entries when descriptors run out

What was seen: a process without a free descriptor, to which another entry connects, tried to accept without pause and wrote a line of libevent's for each attempt. Found by busy_loop_test while places were looked for that stay ready and that nothing empties; not seen with real processes, since clients may use three quarters of the descriptors only.

Cause: the pause after a failure to accept was part of the HTTP server. The link between entries has a listener of its own, without an error callback.

Change: TcpListener holds the socket, the pause and the log line for both.

--- a/src/kingcupdrift/net/http_server.cc
+++ b/src/kingcupdrift/net/http_server.cc
@@ -2,13 +2,12 @@
 
 #include <cerrno>
 #include <map>
-#include <optional>
 #include <utility>
 
 #include "kingcupdrift/net/connection_budget.h"
-#include "kingcupdrift/net/internal/libevent_handles.h"
 #include "kingcupdrift/net/internal/server_connection.h"
 #include "kingcupdrift/net/internal/socket_address.h"
+#include "kingcupdrift/net/internal/tcp_listener.h"
 #include "kingcupdrift/net/loop_clock.h"
 
 namespace kingcupdrift {
@@ -17,9 +16,6 @@
 const Logger kLog("http");
 
 constexpr int kUnavailable = 503;
-/// Time without accepting after the process has run out of descriptors or the
-/// kernel out of memory.
-constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
 class LibeventServer : public HttpServer, private ConnectionOwner {
  public:
@@ -32,10 +28,12 @@
         handler_(std::move(handler)),
         own_budget_(clock_, ConnectionBudgetSettings()),
         budget_(settings.budget != nullptr ? *settings.budget : own_budget_),
-        log_("http", clock_) {}
+        listener_(clock_,
+                  "http",
+                  {[this](int socket) { Accept(socket); },
+                   [this](int error) { HandleAcceptError(error); }}) {}
 
   ~LibeventServer() override {
-    listener_.reset();
     // Closing a connection removes it from the map.
     while (!connections_.empty()) {
       const auto connection = connections_.begin()->second;
@@ -44,28 +42,15 @@
   }
 
   Result<void> Bind(const Endpoint& endpoint) {
-    std::optional<SocketAddress> address = ToSocketAddress(endpoint);
-    if (address) {
-      listener_.reset(evconnlistener_new_bind(
-          loop_.base(), &OnAccept, this,
-          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-          address->get(), address->size));
-    }
-    if (!listener_) {
-      return MakeError(ErrorCode::kUnavailable,
-                       "cannot listen at " + ToString(endpoint));
-    }
-    evconnlistener_set_error_cb(listener_.get(), &OnAcceptError);
-    const int socket = evconnlistener_get_fd(listener_.get());
-    if (settings_.receive_buffer_bytes > ByteCount(0)) {
+    Result<void> bound = listener_.Bind(loop_.base(), endpoint);
+    if (bound && settings_.receive_buffer_bytes > ByteCount(0)) {
       // Accepted connections inherit it.
-      SetReceiveBuffer(socket, settings_.receive_buffer_bytes);
+      SetReceiveBuffer(listener_.socket(), settings_.receive_buffer_bytes);
     }
-    endpoint_ = {endpoint.host, GetLocalPort(socket)};
-    return {};
+    return bound;
   }
 
-  Endpoint endpoint() const override { return endpoint_; }
+  Endpoint endpoint() const override { return listener_.endpoint(); }
 
   void SetLimits(const HttpServerSettings& settings) override {
     const ByteCount receive_buffer_bytes = settings_.receive_buffer_bytes;
@@ -76,18 +61,6 @@
   std::size_t CountUnfinishedExchanges() const override { return *unfinished_; }
 
  private:
-  static void OnAccept(evconnlistener*,
-                       evutil_socket_t socket,
-                       sockaddr*,
-                       int,
-                       void* arg) {
-    static_cast<LibeventServer*>(arg)->Accept(socket);
-  }
-
-  static void OnAcceptError(evconnlistener*, void* arg) {
-    static_cast<LibeventServer*>(arg)->HandleAcceptError(EVUTIL_SOCKET_ERROR());
-  }
-
   EventLoop& loop() override { return loop_; }
   const HttpServerSettings& settings() const override { return settings_; }
   ConnectionBudget& budget() override { return budget_; }
@@ -105,16 +78,10 @@
     }
   }
 
-  // Without a pause, the loop would run for as long as the connection waits.
   void HandleAcceptError(int error) {
-    log_.Warning("accept", "Cannot accept a connection: {}.",
-                 evutil_socket_error_to_string(error));
     if (error == EMFILE || error == ENFILE) {
       budget_.EvictOne(nullptr);
     }
-    evconnlistener_disable(listener_.get());
-    accept_timer_ = clock_.RunAfter(
-        kAcceptPause, [this] { evconnlistener_enable(listener_.get()); });
   }
 
   void HandleRequest(std::unique_ptr<HttpExchange> exchange) override {
@@ -149,15 +116,12 @@
   Handler handler_;
   ConnectionBudget own_budget_;
   ConnectionBudget& budget_;
-  RateLimitedLogger log_;
   // Expires with the server, so that pending tasks do not use it afterwards.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   // Shared with the connections, which may outlive the server.
   std::shared_ptr<std::size_t> unfinished_ = std::make_shared<std::size_t>(0);
-  Endpoint endpoint_;
   std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
-  ListenerHandle listener_;
-  std::unique_ptr<Timer> accept_timer_;
+  TcpListener listener_;
 };
 
 }  // namespace
--- a/src/kingcupdrift/net/tcp_peer_link.cc
+++ b/src/kingcupdrift/net/tcp_peer_link.cc
@@ -1,13 +1,12 @@
 #include "kingcupdrift/net/tcp_peer_link.h"
 
 #include <map>
-#include <optional>
 #include <utility>
 
 #include "kingcupdrift/net/internal/libevent_handles.h"
 #include "kingcupdrift/net/internal/outgoing_peer.h"
 #include "kingcupdrift/net/internal/peer_codec.h"
-#include "kingcupdrift/net/internal/socket_address.h"
+#include "kingcupdrift/net/internal/tcp_listener.h"
 
 namespace kingcupdrift {
 namespace {
@@ -20,24 +19,11 @@
                   Clock& clock,
                   Random& random,
                   const PeerLinkSettings& settings)
-      : context_{loop, clock, random, settings, {}} {}
+      : context_{loop, clock, random, settings, {}},
+        listener_(clock, "peer", {[this](int fd) { Accept(fd); }, nullptr}) {}
 
   Result<void> Bind() {
-    const Endpoint& requested = context_.settings.endpoint;
-    std::optional<SocketAddress> address = ToSocketAddress(requested);
-    if (address) {
-      listener_.reset(evconnlistener_new_bind(
-          context_.loop.base(), &HandleAccept, this,
-          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-          address->get(), address->size));
-    }
-    if (!listener_) {
-      return MakeError(ErrorCode::kUnavailable,
-                       "cannot listen at " + ToString(requested));
-    }
-    endpoint_ = {requested.host,
-                 GetLocalPort(evconnlistener_get_fd(listener_.get()))};
-    return {};
+    return listener_.Bind(context_.loop.base(), context_.settings.endpoint);
   }
 
   void Send(const Endpoint& peer, const PeerMessage& message) override {
@@ -55,7 +41,7 @@
     receiver_ = std::move(receiver);
   }
 
-  Endpoint endpoint() const override { return endpoint_; }
+  Endpoint endpoint() const override { return listener_.endpoint(); }
   const PeerLinkCounters& counters() const override {
     return context_.counters;
   }
@@ -74,14 +60,6 @@
     PeerChannel channel;
   };
 
-  static void HandleAccept(evconnlistener*,
-                           evutil_socket_t fd,
-                           sockaddr*,
-                           int,
-                           void* arg) {
-    static_cast<TcpPeerLinkImpl*>(arg)->Accept(fd);
-  }
-
   void Accept(evutil_socket_t fd) {
     if (incoming_.size() >= context_.settings.max_incoming) {
       evutil_closesocket(fd);
@@ -158,11 +136,10 @@
 
   PeerContext context_;
   Receiver receiver_;
-  Endpoint endpoint_;
   std::map<Endpoint, std::unique_ptr<OutgoingPeer>> outgoing_;
   std::map<Incoming*, std::unique_ptr<Incoming>> incoming_;
   std::unique_ptr<Timer> expiry_timer_;
-  ListenerHandle listener_;
+  TcpListener listener_;
 };
 
 }  // namespace
--- a/tests/net/busy_loop_test.cc
+++ b/tests/net/busy_loop_test.cc
@@ -239,6 +239,21 @@
   net.Await([&] { return !net.open.empty(); });
 }
 
+TEST_CASE("a peer link without descriptors does not keep the loop busy") {
+  PeerFixture net;
+  RawConnection raw(net.link->endpoint());
+  {
+    const NoFreeDescriptors no_descriptors;
+    REQUIRE(net.CountIterations() <= kMaxIterations);
+    raw.ReadUntilClosed();
+    CHECK(raw.received.empty());
+  }
+  net.Await([&] {
+    raw.ReadUntilClosed();
+    return !raw.received.empty();
+  });
+}
+
 TEST_CASE("peers that send half a frame do not keep the loop busy") {
   PeerFixture net;
   RawConnection incoming(net.link->endpoint());
