--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -439,7 +439,7 @@
         threading.Thread(target=self.beat, daemon=True).start()
         machine_ips = [f"{network}.{200 + number}" for number in range(machines)]
         self.ports = self.find_free_ports(machine_ips)
-        self.machines = [Machine(self, 1, ip, zones[number % 3])
+        self.machines = [Machine(self, number // 3 + 1, ip, zones[number % 3])
                          for number, ip in enumerate(machine_ips)]
 
     @staticmethod
