--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,8 +15,8 @@
 
 sys.dont_write_bytecode = True
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-3"))
-import deployment as d
+sys.path.insert(0, str(FOLDER.parent))
+import standins_3 as d
 
 MODEL_ENGINES = 23
 # Of the 23 engines, so many send such bytes while the trouble lasts.
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,7 +10,7 @@
 
 if sys.version_info < (3, 9):
     sys.exit("Python 3.9 or newer is needed")
-files = [pathlib.Path("standins-3/deployment.py")]
+files = [pathlib.Path("standins_3.py")]
 files += [pathlib.Path(f"{number}/case.py") for number in range(11, 16)]
 for it in files:
     if it.exists():
--- a/review/standins-3/deployment.py
+++ b/review/standins_3.py
@@ -23,7 +23,7 @@
 import traceback
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 PROGRAM = ["target/kingcupdrift", "serve-platform"]
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
