Shut connections down when their call ends

Cause: a call that ends before its connection is established is reported as not sent. The connection lived on until the next iteration of the loop; disabling a bufferevent does not stop a connect in progress, and when the connect succeeds, evhttp writes the request.

Change: Abandon shuts the connection down in both directions, which also ends a connect in progress. Every way in which a call ends goes through it.

--- a/src/kingcupdrift/net/internal/client_connection.cc
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -1,5 +1,7 @@
 #include "kingcupdrift/net/internal/client_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <string>
@@ -84,6 +86,9 @@
 void ClientConnection::Abandon() {
   delegate_ = nullptr;
   bufferevent_disable(stream(), EV_READ | EV_WRITE);
+  // Disabling does not stop a connect in progress, after which libevent would
+  // write the request. The descriptor stays open, as libevent may be using it.
+  shutdown(bufferevent_getfd(stream()), SHUT_RDWR);
 }
 
 void ClientConnection::SetPaused(bool is_paused) {
--- a/src/kingcupdrift/net/internal/client_connection.h
+++ b/src/kingcupdrift/net/internal/client_connection.h
@@ -56,8 +56,8 @@
   /// Sends a request. `delegate` receives its events until `Abandon` or
   /// `DetachDelegate`; HandleEnd may be called before `Send` returns.
   void Send(const HttpRequest& request, ConnectionDelegate& delegate);
-  /// Stops the events and all reading and writing; the connection cannot be
-  /// used again.
+  /// Stops the events and shuts the connection down, also one that is being
+  /// established: no byte is written any more. It cannot be used again.
   void Abandon();
   /// Stops the events after a complete response, so that the connection can be
   /// reused.
--- a/src/kingcupdrift/net/internal/connection_pool.h
+++ b/src/kingcupdrift/net/internal/connection_pool.h
@@ -28,7 +28,7 @@
   /// Takes a connection back after a complete response. May be called inside
   /// the connection's callbacks.
   void Return(std::unique_ptr<ClientConnection> connection);
-  /// Closes a connection in a later loop iteration.
+  /// Shuts a connection down at once and destroys it in a later loop iteration.
   void Discard(std::unique_ptr<ClientConnection> connection);
 
   Clock& clock() const { return clock_; }
