--- a/tests/net/net_fixture.h
+++ b/tests/net/net_fixture.h
@@ -114,6 +114,8 @@
     }
   }
 
+  int fd() const { return fd_; }
+
   std::string received;
 
  private:
--- a/tests/net/server_connection_test.cc
+++ b/tests/net/server_connection_test.cc
@@ -95,9 +95,9 @@
       },
       settings);
   RawConnection raw(server->endpoint());
-  raw.Write("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na");
   net.Await([&] { return budget.CountConnections() == 1; });
   const ByteCount idle = budget.held();
+  raw.Write("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na");
   net.Await([&] { return budget.held() > idle; });
   settings.max_body_bytes = ByteCount(1);
   server->SetLimits(settings);
