Keep connections whose bytes came during a stop

What callers saw: after a freeze, a client's connection was closed as idle although its request had arrived; entries gave up connections to each other.

The heartbeat timer counted the time in which this process sent no heartbeat as silence of the peer.

Change: such a timeout checks whether the socket is ready first. A late heartbeat timer does not count the time by which it is late.

--- a/src/kingcupdrift/net/internal/outgoing_peer.cc
+++ b/src/kingcupdrift/net/internal/outgoing_peer.cc
@@ -120,12 +120,17 @@
 }
 
 void OutgoingPeer::ScheduleHeartbeat() {
+  heartbeat_due_ = context_.clock.Now() + context_.settings.heartbeat_interval;
   heartbeat_timer_ = context_.clock.RunAfter(
       context_.settings.heartbeat_interval, [this] { HandleHeartbeatTimer(); });
 }
 
 void OutgoingPeer::HandleHeartbeatTimer() {
   const MonotonicTime now = context_.clock.Now();
+  // The peer only answers heartbeats, and none was sent while this timer was
+  // late.
+  last_receive_time_ =
+      std::min(now, last_receive_time_ + (now - heartbeat_due_));
   if (now >= last_receive_time_ + context_.settings.inactivity_timeout) {
     kLog.Warning("Closed the connection to {}: inactivity timeout.",
                  ToString(peer_));
--- a/src/kingcupdrift/net/internal/outgoing_peer.h
+++ b/src/kingcupdrift/net/internal/outgoing_peer.h
@@ -60,6 +60,7 @@
   MonotonicTime next_connect_{};
   MonotonicTime last_send_time_{};
   MonotonicTime last_receive_time_{};
+  MonotonicTime heartbeat_due_{};
   std::unique_ptr<Timer> heartbeat_timer_;
 };
 
--- a/src/kingcupdrift/net/internal/server_connection.cc
+++ b/src/kingcupdrift/net/internal/server_connection.cc
@@ -199,6 +199,11 @@
     bufferevent_enable(stream_.get(), EV_READ);
     return;
   }
+  if (const short direction = FindReadyDirection(socket(), events)) {
+    // The bytes came in time; the process did not run meanwhile.
+    bufferevent_enable(stream_.get(), direction);
+    return;
+  }
   if ((events & BEV_EVENT_EOF) != 0 && phase_ == Phase::kEnding) {
     // A client that sends no more may still read.
     keeps_alive_ = false;
--- a/src/kingcupdrift/net/internal/socket_address.cc
+++ b/src/kingcupdrift/net/internal/socket_address.cc
@@ -1,6 +1,8 @@
 #include "kingcupdrift/net/internal/socket_address.h"
 
 #include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -73,6 +75,18 @@
          (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+short FindReadyDirection(int socket, short events) {
+  if ((events & BEV_EVENT_TIMEOUT) == 0) {
+    return 0;
+  }
+  const bool is_reading = (events & BEV_EVENT_READING) != 0;
+  pollfd state{socket, static_cast<short>(is_reading ? POLLIN : POLLOUT), 0};
+  if (poll(&state, 1, 0) <= 0) {
+    return 0;
+  }
+  return is_reading ? EV_READ : EV_WRITE;
+}
+
 void SetResetOnClose(int socket) {
   const linger at_once{1, 0};
   setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
--- a/src/kingcupdrift/net/internal/socket_address.h
+++ b/src/kingcupdrift/net/internal/socket_address.h
@@ -46,6 +46,11 @@
 /// are unread.
 bool IsPeerClosed(int socket);
 
+/// For the events of a bufferevent: EV_READ or EV_WRITE if a timeout has passed
+/// although the socket can be read or written, as after a stop of the process;
+/// otherwise 0.
+short FindReadyDirection(int socket, short events);
+
 /// Makes closing the socket drop its unsent bytes and reset the connection.
 void SetResetOnClose(int socket);
 
--- a/src/kingcupdrift/net/tcp_peer_link.cc
+++ b/src/kingcupdrift/net/tcp_peer_link.cc
@@ -6,6 +6,7 @@
 #include "kingcupdrift/net/internal/libevent_handles.h"
 #include "kingcupdrift/net/internal/outgoing_peer.h"
 #include "kingcupdrift/net/internal/peer_codec.h"
+#include "kingcupdrift/net/internal/socket_address.h"
 #include "kingcupdrift/net/internal/tcp_listener.h"
 
 namespace kingcupdrift {
@@ -84,8 +85,13 @@
     incoming.owner.TakeFrames(incoming);
   }
 
-  static void HandleEvent(bufferevent*, short, void* arg) {
+  static void HandleEvent(bufferevent* stream, short events, void* arg) {
     auto& incoming = *static_cast<Incoming*>(arg);
+    if (const short direction =
+            FindReadyDirection(bufferevent_getfd(stream), events)) {
+      bufferevent_enable(stream, direction);
+      return;
+    }
     incoming.owner.incoming_.erase(&incoming);
   }
 
--- a/tests/net/stopped_process_test.cc
+++ b/tests/net/stopped_process_test.cc
@@ -84,5 +84,39 @@
   CHECK(result->has_value());
 }
 
+TEST_CASE("a client whose request came during a stop is not closed as idle") {
+  NetFixture net;
+  HttpServerSettings settings;
+  settings.inactivity_timeout = kLimit;
+  const auto server = net.Serve(
+      [](std::unique_ptr<HttpExchange> it) {
+        it->RespondText(200, "text/plain", "served");
+      },
+      settings);
+  RawConnection raw(server->endpoint());
+  const InterruptedWait wait(raw.fd(), "GET / HTTP/1.1\r\n\r\n");
+  RunLoop(net);
+  raw.ReadUntilClosed();
+  CHECK(raw.received.ends_with("served"));
+}
+
+TEST_CASE("a peer whose bytes came during a stop is not closed as silent") {
+  NetFixture net;
+  SeededRandom random{1};
+  PeerLinkSettings settings;
+  settings.endpoint = {"127.0.0.1", 0};
+  settings.shared_secret = "secret";
+  settings.inactivity_timeout = kLimit;
+  const auto link = TcpPeerLink::Listen(net.loop, net.clock, random, settings);
+  REQUIRE(link.has_value());
+  RawConnection raw((*link)->endpoint());
+  // A part of a frame: the connection waits for the rest.
+  const InterruptedWait wait(raw.fd(), std::string("\x40\0\0\0", 4));
+  const auto timer = net.clock.RunAfter(milliseconds(10 + kStopMs + 20),
+                                        [&] { net.loop.Stop(); });
+  net.loop.Run();
+  CHECK_FALSE(raw.ReadUntilClosed());
+}
+
 }  // namespace
 }  // namespace kingcupdrift
--- a/tests/net/tcp_peer_link_test.cc
+++ b/tests/net/tcp_peer_link_test.cc
@@ -7,6 +7,7 @@
 #include "kingcupdrift/net/internal/peer_codec.h"
 #include "kingcupdrift/net/net.h"
 #include "tests/net/net_fixture.h"
+#include "tests/net/paused_loop.h"
 
 namespace kingcupdrift {
 namespace {
@@ -341,5 +342,50 @@
   CHECK(link->counters().frames_dropped > 90);
 }
 
+// Guards against a peer that is taken for silent, since this process did not
+// run and sent it no heartbeats.
+TEST_CASE("A peer is not given up after a stop of the process [peer]") {
+  PausedLoop paused;
+  SeededRandom random{kSeed};
+  PeerLinkSettings settings = FastSettings("secret");
+  settings.heartbeat_interval = std::chrono::seconds(1);
+  settings.inactivity_timeout = std::chrono::seconds(3);
+  settings.max_idle_time = std::chrono::hours(1);
+  auto a = TcpPeerLink::Listen(paused.loop, paused.clock, random, settings);
+  auto b = TcpPeerLink::Listen(paused.loop, paused.clock, random, settings);
+  REQUIRE(a.has_value());
+  REQUIRE(b.has_value());
+  int received = 0;
+  (*b)->SetReceiver([&](const PeerMessage&) { ++received; });
+  (*a)->Send((*b)->endpoint(), Probe(1));
+  // The answer to the first heartbeat; no other one is under way.
+  paused.Await(
+      [&] { return received == 1 && (*a)->counters().frames_received == 1; });
+  paused.Resume(std::chrono::seconds(4));
+  (*a)->Send((*b)->endpoint(), Probe(2));
+  paused.Await([&] { return received == 2; });
+  CHECK((*a)->counters().failed_connections == 0);
+}
+
+// The other side of the case above: silence while this process runs.
+TEST_CASE("A peer that answers no heartbeats is given up [peer]") {
+  PausedLoop paused;
+  SeededRandom random{kSeed};
+  SilentListener silent;
+  PeerLinkSettings settings = FastSettings("secret");
+  settings.heartbeat_interval = std::chrono::seconds(1);
+  settings.inactivity_timeout = std::chrono::seconds(3);
+  settings.max_idle_time = std::chrono::hours(1);
+  auto link = TcpPeerLink::Listen(paused.loop, paused.clock, random, settings);
+  REQUIRE(link.has_value());
+  (*link)->Send(silent.endpoint, Probe(1));
+  for (int i = 0; i < 3; ++i) {
+    CHECK((*link)->counters().failed_connections == 0);
+    paused.loop.Post([] {});
+    paused.Resume(std::chrono::seconds(1));
+  }
+  CHECK((*link)->counters().failed_connections == 1);
+}
+
 }  // namespace
 }  // namespace kingcupdrift
