Look at each byte of an event stream once

Cause: SseFramer searched the unfinished event from its start for each piece that came, up to a megabyte for each chunk of two bytes.

Change: lines are taken in as they end, and the search goes on where the last one ended. A line that no event stream has is an error at once, not at the end of its event; while whole events can be returned, the error follows in the next call.

Evidence: sse_framer_test counts the bytes that are looked at; four forms fail with a search from the start of the line.

--- a/src/kingcupdrift/forwarding/sse_framer.cc
+++ b/src/kingcupdrift/forwarding/sse_framer.cc
@@ -7,66 +7,28 @@
 namespace kingcupdrift {
 namespace {
 
-constexpr std::string_view kIdField = "id:";
+constexpr char kForeignBytes[] = "the stream has bytes that are no event";
 
-/// Length in bytes of the first whole event in `bytes`, its blank line
-/// included; 0 if no event is whole. Each line may end with LF or CRLF.
-std::size_t FindFirstEventSize(std::string_view bytes) {
-  std::size_t next = bytes.find('\n');
-  while (next != std::string_view::npos) {
-    ++next;
-    const std::string_view rest = bytes.substr(next);
-    if (rest.starts_with('\n')) {
-      return next + 1;
-    }
-    if (rest.starts_with("\r\n")) {
-      return next + 2;
-    }
-    next = bytes.find('\n', next);
-  }
-  return 0;
-}
+/// Fields of event streams in general.
+constexpr std::array<std::string_view, 4> kFields = {"data", "event", "id",
+                                                     "retry"};
 
-/// The numeric `id` field of an event; absent if it has none.
-std::optional<std::uint64_t> ParseEventId(std::string_view event) {
-  while (!event.empty()) {
-    const std::size_t end = std::min(event.find('\n'), event.size());
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(std::min(end + 1, event.size()));
-    if (!line.starts_with(kIdField)) {
-      continue;
-    }
-    line.remove_prefix(kIdField.size());
-    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-    std::uint64_t id = 0;
-    const auto result =
-        std::from_chars(line.data(), line.data() + line.size(), id);
-    if (result.ec == std::errc()) {
-      return id;
-    }
+/// The numeric value of an `id` line; absent for other lines.
+std::optional<std::uint64_t> ParseEventId(std::string_view line) {
+  constexpr std::string_view kIdField = "id:";
+  if (!line.starts_with(kIdField)) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  line.remove_prefix(kIdField.size());
+  line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+  std::uint64_t id = 0;
+  const auto result =
+      std::from_chars(line.data(), line.data() + line.size(), id);
+  return result.ec == std::errc() ? std::optional(id) : std::nullopt;
 }
 
-/// Calls `handle` with each line of the event, without its end.
-template <typename Handler>
-void ForEachLine(std::string_view event, Handler handle) {
-  while (!event.empty()) {
-    const std::size_t end = std::min(event.find('\n'), event.size());
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(std::min(end + 1, event.size()));
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
-    }
-    handle(line);
-  }
-}
-
-/// Whether event streams in general have such a line.
-bool HasStandardField(std::string_view line) {
-  constexpr std::array<std::string_view, 4> kFields = {"data", "event", "id",
-                                                       "retry"};
-  const std::string_view field = line.substr(0, line.find(':'));
+/// Whether event streams in general have a line that begins with this field.
+bool IsStandardField(std::string_view field) {
   // An empty name before a colon begins a comment.
   return field.empty() ||
          std::find(kFields.begin(), kFields.end(), field) != kFields.end();
@@ -92,43 +54,63 @@
   return line.starts_with(':') && IsInteger(line.substr(1));
 }
 
-bool SseFramer::HasOnlyKnownLines(std::string_view event) const {
-  bool is_known = true;
-  ForEachLine(event, [&](std::string_view line) {
-    is_known = is_known && (HasStandardField(line) || IsVersionLine(line));
-  });
-  return is_known;
+bool SseFramer::MayBeginLine(std::string_view part) const {
+  const std::size_t colon = part.find(':');
+  if (colon != std::string_view::npos) {
+    const std::string_view field = part.substr(0, colon);
+    return IsStandardField(field) || field == version_field_;
+  }
+  if (part.ends_with('\r')) {
+    part.remove_suffix(1);
+  }
+  return version_field_.starts_with(part) ||
+         std::any_of(kFields.begin(), kFields.end(),
+                     [&](std::string_view it) { return it.starts_with(part); });
 }
 
-bool SseFramer::IsWithoutContent(std::string_view event) const {
-  bool is_without_content = true;
-  ForEachLine(event, [&](std::string_view line) {
-    is_without_content =
-        is_without_content &&
-        (line.empty() || line.starts_with(':') || IsVersionLine(line));
-  });
-  return is_without_content;
+void SseFramer::TakeLine(std::string_view line) {
+  event_.size += line.size() + 1;
+  examined_bytes_ += line.size();
+  if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  if (!event_.id) {
+    event_.id = ParseEventId(line);
+  }
+  const bool is_version = IsVersionLine(line);
+  event_.has_foreign_line |=
+      !is_version && !IsStandardField(line.substr(0, line.find(':')));
+  event_.has_content |= !is_version && !line.empty() && !line.starts_with(':');
 }
 
 Result<std::string> SseFramer::Feed(std::string_view bytes) {
-  pending_ += bytes;
   const std::optional<std::uint64_t> returned_id = last_event_id_;
+  std::size_t searched = pending_.size();
+  pending_ += bytes;
+  examined_bytes_ += pending_.size() - searched;
   std::string whole;
   std::size_t start = 0;
-  while (true) {
-    const std::string_view rest = std::string_view(pending_).substr(start);
-    const std::size_t size = FindFirstEventSize(rest);
-    if (size == 0) {
-      break;
+  std::size_t end = 0;
+  while ((end = pending_.find('\n', searched)) != std::string::npos) {
+    searched = end + 1;
+    const std::size_t line_start = start + event_.size;
+    const std::string_view line =
+        std::string_view(pending_).substr(line_start, end - line_start);
+    // A blank line ends an event that has another line before it.
+    const bool is_end = event_.size > 0 && (line.empty() || line == "\r");
+    TakeLine(line);
+    if (!is_end) {
+      continue;
     }
-    const Result<EventAction> action = CheckEvent(rest.substr(0, size));
+    const std::size_t size = event_.size;
+    const Result<EventAction> action = EndEvent();
     if (!action) {
       // The events before it are not returned either.
       last_event_id_ = returned_id;
       return tl::unexpected(action.error());
     }
     if (*action == EventAction::kPass) {
-      whole += rest.substr(0, size);
+      whole.append(pending_, start, size);
     }
     start += size;
   }
@@ -140,31 +122,35 @@
   if (pending_.size() > kMaxEventBytes) {
     return MakeError(ErrorCode::kProtocol, "the unfinished event is too large");
   }
+  const std::string_view part = std::string_view(pending_).substr(event_.size);
+  if (whole.empty() && (event_.has_foreign_line || !MayBeginLine(part))) {
+    return MakeError(ErrorCode::kProtocol, kForeignBytes);
+  }
   return whole;
 }
 
 void SseFramer::StartAttempt() {
   pending_.clear();
+  event_ = {};
   has_expected_id_ = last_event_id_.has_value();
 }
 
-Result<SseFramer::EventAction> SseFramer::CheckEvent(std::string_view event) {
-  const std::optional<std::uint64_t> id = ParseEventId(event);
-  if (!HasOnlyKnownLines(event)) {
-    return MakeError(ErrorCode::kProtocol,
-                     "the stream has bytes that are no event");
+Result<SseFramer::EventAction> SseFramer::EndEvent() {
+  const EventFacts event = std::exchange(event_, {});
+  if (event.has_foreign_line) {
+    return MakeError(ErrorCode::kProtocol, kForeignBytes);
   }
-  if (!id) {
-    has_unnumbered_event_ = has_unnumbered_event_ || !IsWithoutContent(event);
+  if (!event.id) {
+    has_unnumbered_event_ = has_unnumbered_event_ || event.has_content;
     return EventAction::kPass;
   }
-  if (has_expected_id_ && *id <= *last_event_id_) {
+  if (has_expected_id_ && *event.id <= *last_event_id_) {
     return EventAction::kDrop;
   }
-  if (has_expected_id_ && *id != *last_event_id_ + 1) {
+  if (has_expected_id_ && *event.id != *last_event_id_ + 1) {
     return MakeError(ErrorCode::kProtocol, "the stream skips an event");
   }
-  last_event_id_ = id;
+  last_event_id_ = event.id;
   has_expected_id_ = true;
   return EventAction::kPass;
 }
