Limit the processor time that one server's answers take

What callers saw: answers were slower by a tenth of a second or more, and the process used a whole core, while one engine sent chunks or events of a few bytes without end.

Cause: each read and each chunk has a cost of its own, however few bytes it has, and the reads of one engine were limited only by the speed of the entry.

Change: ReadLimiter, a token bucket for each server over all its connections: 25,000 reads and chunks a second, as many at once. Without tokens its connections are not read for a moment. That is far more than the events of an engine with hundreds of streams.

--- a/src/kingcupdrift/net/internal/client_connection.cc
+++ b/src/kingcupdrift/net/internal/client_connection.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <string>
+#include <utility>
 
 #include "kingcupdrift/net/internal/http_convert.h"
 #include "kingcupdrift/net/internal/response_check.h"
@@ -34,9 +35,14 @@
 }  // namespace
 
 ClientConnection::ClientConnection(event_base* base,
+                                   Clock& clock,
                                    const Endpoint& server,
+                                   std::shared_ptr<ReadLimiter> limiter,
                                    TrafficCounters& counters)
-    : server_(server), counters_(counters) {
+    : clock_(clock),
+      server_(server),
+      limiter_(std::move(limiter)),
+      counters_(counters) {
   bufferevent* const bev =
       bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
   evbuffer_add_cb(bufferevent_get_output(bev), &OnOutput, this);
@@ -69,6 +75,7 @@
       static_cast<std::size_t>(request.max_response_bytes.value());
   reported_bytes_ = 0;
   chunk_scanner_.reset();
+  is_paused_ = false;
   evhttp_request* const out = evhttp_request_new(&OnDone, this);
   evhttp_request_set_header_cb(out, &OnHeaders);
   evhttp_request_set_chunked_cb(out, &OnChunk);
@@ -86,6 +93,7 @@
 
 void ClientConnection::Abandon() {
   delegate_ = nullptr;
+  pause_timer_.reset();
   bufferevent_disable(stream(), EV_READ | EV_WRITE);
   // Disabling does not stop a connect in progress, after which libevent would
   // write the request. The descriptor stays open, as libevent may be using it.
@@ -93,7 +101,26 @@
 }
 
 void ClientConnection::SetPaused(bool is_paused) {
-  if (is_paused) {
+  is_paused_ = is_paused;
+  UpdateReading();
+}
+
+void ClientConnection::LimitReading() {
+  if (delegate_ == nullptr || pause_timer_) {
+    return;
+  }
+  const Duration pause = limiter_->GetPause(clock_.Now());
+  if (pause > Duration::zero()) {
+    pause_timer_ = clock_.RunAfter(pause, [this] {
+      pause_timer_.reset();
+      UpdateReading();
+    });
+    UpdateReading();
+  }
+}
+
+void ClientConnection::UpdateReading() {
+  if (is_paused_ || pause_timer_) {
     bufferevent_disable(stream(), EV_READ);
   } else {
     bufferevent_enable(stream(), EV_READ);
@@ -139,6 +166,8 @@
 
 void ClientConnection::OnChunk(evhttp_request* request, void* arg) {
   auto& self = *static_cast<ClientConnection*>(arg);
+  self.limiter_->Take();
+  self.LimitReading();
   evbuffer* const input = evhttp_request_get_input_buffer(request);
   std::array<evbuffer_iovec, kMaxSegments> segments{};
   while (self.delegate_ != nullptr && evbuffer_get_length(input) > 0) {
@@ -187,6 +216,8 @@
   auto& self = *static_cast<ClientConnection*>(arg);
   if (info->n_added > 0) {
     self.KeepStatusLine(buffer);
+    self.limiter_->Take();
+    self.LimitReading();
   }
   self.counters_.bytes_received += static_cast<std::int64_t>(info->n_added);
   self.CountInput(buffer, info->n_added);
--- a/src/kingcupdrift/net/internal/client_connection.h
+++ b/src/kingcupdrift/net/internal/client_connection.h
@@ -3,12 +3,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
 #include "kingcupdrift/net/http_client.h"
 #include "kingcupdrift/net/internal/chunk_scanner.h"
 #include "kingcupdrift/net/internal/libevent_handles.h"
+#include "kingcupdrift/net/internal/read_limiter.h"
 
 struct evbuffer_cb_info;
 
@@ -50,8 +52,11 @@
 /// must not be destroyed inside its delegate's callbacks.
 class ClientConnection {
  public:
+  /// `limiter` is that of the server.
   ClientConnection(event_base* base,
+                   Clock& clock,
                    const Endpoint& server,
+                   std::shared_ptr<ReadLimiter> limiter,
                    TrafficCounters& counters);
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
@@ -100,9 +105,14 @@
   /// False if a chunk's size line is too long.
   bool ScanChunks(evbuffer* buffer, std::size_t added_bytes);
   void ReportWaitingBytes(std::size_t unread_bytes);
+  /// Stops reading while the server's limiter asks for it.
+  void LimitReading();
+  void UpdateReading();
   bufferevent* stream() const;
 
+  Clock& clock_;
   Endpoint server_;
+  std::shared_ptr<ReadLimiter> limiter_;
   TrafficCounters& counters_;
   HttpConnectionHandle connection_;
   ConnectionDelegate* delegate_ = nullptr;
@@ -119,6 +129,9 @@
   std::size_t reported_bytes_ = 0;
   // Absent unless the body that follows the head has chunks.
   std::optional<ChunkScanner> chunk_scanner_;
+  bool is_paused_ = false;
+  // Runs while the limiter keeps the connection from being read.
+  std::unique_ptr<Timer> pause_timer_;
 };
 
 }  // namespace kingcupdrift
--- a/src/kingcupdrift/net/internal/connection_pool.cc
+++ b/src/kingcupdrift/net/internal/connection_pool.cc
@@ -1,8 +1,15 @@
 #include "kingcupdrift/net/internal/connection_pool.h"
 
+#include <chrono>
 #include <utility>
 
 namespace kingcupdrift {
+namespace {
+
+/// Exceeds the time in which a limiter is filled.
+constexpr Duration kLimiterCheckInterval = std::chrono::seconds(10);
+
+}  // namespace
 
 std::unique_ptr<ClientConnection> ConnectionPool::TakeIdle(
     const Endpoint& server) {
@@ -25,7 +32,33 @@
 
 std::unique_ptr<ClientConnection> ConnectionPool::CreateNew(
     const Endpoint& server) {
-  return std::make_unique<ClientConnection>(loop_.base(), server, counters_);
+  return std::make_unique<ClientConnection>(loop_.base(), clock_, server,
+                                            GetReadLimiter(server), counters_);
+}
+
+std::shared_ptr<ReadLimiter> ConnectionPool::GetReadLimiter(
+    const Endpoint& server) {
+  std::shared_ptr<ReadLimiter>& limiter = read_limiters_[server];
+  if (!limiter) {
+    limiter = std::make_shared<ReadLimiter>(clock_.Now());
+  }
+  if (!limiter_timer_) {
+    limiter_timer_ =
+        clock_.RunAfter(kLimiterCheckInterval, [this] { DropFullLimiters(); });
+  }
+  return limiter;
+}
+
+void ConnectionPool::DropFullLimiters() {
+  limiter_timer_.reset();
+  // The connections of a server share its limiter with the pool.
+  std::erase_if(read_limiters_, [&](const auto& it) {
+    return it.second.use_count() == 1 && it.second->IsFull(clock_.Now());
+  });
+  if (!read_limiters_.empty()) {
+    limiter_timer_ =
+        clock_.RunAfter(kLimiterCheckInterval, [this] { DropFullLimiters(); });
+  }
 }
 
 void ConnectionPool::Return(std::unique_ptr<ClientConnection> connection) {
--- a/src/kingcupdrift/net/internal/connection_pool.h
+++ b/src/kingcupdrift/net/internal/connection_pool.h
@@ -45,16 +45,20 @@
   void Sweep();
   void AddIdle(std::unique_ptr<ClientConnection> connection);
   void DropExpired();
+  std::shared_ptr<ReadLimiter> GetReadLimiter(const Endpoint& server);
+  void DropFullLimiters();
 
   EventLoop& loop_;
   Clock& clock_;
   HttpClientSettings settings_;
   TrafficCounters counters_;
   std::map<Endpoint, std::vector<IdleConnection>> idle_;
+  std::map<Endpoint, std::shared_ptr<ReadLimiter>> read_limiters_;
   std::vector<std::unique_ptr<ClientConnection>> returned_;
   std::vector<std::unique_ptr<ClientConnection>> discarded_;
   std::unique_ptr<Timer> sweep_timer_;
   std::unique_ptr<Timer> expiry_timer_;
+  std::unique_ptr<Timer> limiter_timer_;
 };
 
 }  // namespace kingcupdrift
