--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -33,7 +33,7 @@
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
   add_library(kcd_platform STATIC ${sources})
   target_include_directories(kcd_platform PUBLIC ${CMAKE_SOURCE_DIR})
-  target_link_libraries(kcd_platform PUBLIC kcd_forwarding kcd_net)
+  target_link_libraries(kcd_platform PUBLIC kcd_forwarding kcd_net PRIVATE absl::strings)
 endfunction()
 
 # kcd_fakes(): adds a library without I/O from tests/fakes/*.cc (models driven by a
--- a/tests/platform/wire_headers_test.cc
+++ b/tests/platform/wire_headers_test.cc
@@ -138,6 +138,26 @@
 }
 
 // Guards against arithmetic with a caller's numbers that overflows.
+// Guards against headers that are lost because the list contains their names as
+// parts of other words.
+TEST_CASE("only the headers that Connection lists are not passed on") {
+  const ForwardCall call = Decode({{"Connection", "keep-alive, X-One ,x-two"},
+                                   {"Connection", "X-Three"},
+                                   {"keep", "1"},
+                                   {"alive", "2"},
+                                   {"x-one", "3"},
+                                   {"X-Two", "4"},
+                                   {"X-Three", "5"},
+                                   {"X-On", "6"}});
+  CHECK(Value(call.headers, "keep") == "1");
+  CHECK(Value(call.headers, "alive") == "2");
+  CHECK(Value(call.headers, "X-On") == "6");
+  for (const char* name : {"x-one", "X-Two", "X-Three", "Connection"}) {
+    CAPTURE(name);
+    CHECK(Value(call.headers, name).empty());
+  }
+}
+
 TEST_CASE("numbers of a caller beyond any use are bounded") {
   const std::string most = "9223372036854775807";
   const ForwardCall call = Decode({{"Host", "h"},
