Search each byte of a request line and a watch once

RequestParser searched the start of an incomplete head for its first line end at each read, and the store's watch searched an incomplete line of up to 16,000,000 bytes from its start.

Change: both go on where the last search ended.

Evidence: request_parser_test and store_http_client_test pass unchanged.

--- a/src/kingcupdrift/net/internal/request_parser.cc
+++ b/src/kingcupdrift/net/internal/request_parser.cc
@@ -35,16 +35,7 @@
       std::min(2 * limit.value() + 1024, kMaxLimit));
 }
 
-/// False if no request begins like this, such as one of another protocol.
-bool MayBeginRequest(std::string_view bytes) {
-  constexpr std::string_view kMethodLetters = "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
-  if (kMethodLetters.find(bytes.front()) == std::string_view::npos) {
-    return false;
-  }
-  const std::size_t end = bytes.find(kLineEnd);
-  return end == std::string_view::npos ||
-         bytes.substr(0, end).find(" HTTP/1.") != std::string_view::npos;
-}
+enum class HeadState { kIncomplete, kInvalid, kWhole };
 
 }  // namespace
 
@@ -55,14 +46,34 @@
     eager(true);
   }
 
-  /// True if `bytes`, which begin a request, hold its whole head. Each byte is
-  /// searched once.
-  bool HasWholeHead(std::string_view bytes) {
+  /// Searches `bytes`, which begin a request, for its head. Each byte is
+  /// searched once for each of the two ends.
+  HeadState FindHead(std::string_view bytes) {
     constexpr std::string_view kHeadEnd = "\r\n\r\n";
     const std::size_t start =
         searched_bytes - std::min(searched_bytes, kHeadEnd.size() - 1);
     searched_bytes = bytes.size();
-    return bytes.find(kHeadEnd, start) != std::string_view::npos;
+    if (bytes.find(kHeadEnd, start) != std::string_view::npos) {
+      return HeadState::kWhole;
+    }
+    if (bytes.size() > ToRawHeadLimit(limits.max_header_bytes) ||
+        (!has_request_line && !MayBeginRequest(bytes, start))) {
+      return HeadState::kInvalid;
+    }
+    return HeadState::kIncomplete;
+  }
+
+  /// False if no request begins like this, such as one of another protocol.
+  /// There is no line end before `start`.
+  bool MayBeginRequest(std::string_view bytes, std::size_t start) {
+    constexpr std::string_view kMethodLetters = "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+    if (kMethodLetters.find(bytes.front()) == std::string_view::npos) {
+      return false;
+    }
+    const std::size_t end = bytes.find(kLineEnd, start);
+    has_request_line = end != std::string_view::npos;
+    return !has_request_line ||
+           bytes.substr(0, end).find(" HTTP/1.") != std::string_view::npos;
   }
 
   void CountHeadBytes(std::size_t bytes, beast::error_code& ec) {
@@ -149,6 +160,7 @@
   std::string sized_body;
   GatheredBody chunked_body;
   std::size_t searched_bytes = 0;
+  bool has_request_line = false;
   std::size_t head_bytes = 0;
   std::size_t header_memory = 0;
   int failure_status = 0;
@@ -176,12 +188,14 @@
   }
   // A head is parsed at once: as text it takes far less memory than as a list
   // of many short headers.
-  if (!impl_->has_head && !impl_->HasWholeHead(rest)) {
-    if (rest.size() > ToRawHeadLimit(impl_->limits.max_header_bytes) ||
-        !MayBeginRequest(rest)) {
+  if (!impl_->has_head) {
+    const HeadState state = impl_->FindHead(rest);
+    if (state == HeadState::kInvalid) {
       impl_->failure_status = kBadRequest;
     }
-    return taken;
+    if (state != HeadState::kWhole) {
+      return taken;
+    }
   }
   beast::error_code ec;
   taken += impl_->put({rest.data(), rest.size()}, ec);
--- a/src/kingcupdrift/net/internal/store_watch.cc
+++ b/src/kingcupdrift/net/internal/store_watch.cc
@@ -52,6 +52,7 @@
   void Connect() {
     status_ = 0;
     pending_.clear();
+    searched_bytes_ = 0;
     HttpRequest request;
     request.server = settings_.endpoint;
     request.method = "POST";
@@ -78,8 +79,8 @@
   void TakeLines() {
     const std::shared_ptr<bool> is_destroyed = is_destroyed_;
     std::size_t start = 0;
-    std::size_t end = 0;
-    while ((end = pending_.find('\n', start)) != std::string::npos) {
+    std::size_t end = pending_.find('\n', searched_bytes_);
+    while (end != std::string::npos) {
       const auto line =
           ParseJson(std::string_view(pending_).substr(start, end - start));
       start = end + 1;
@@ -87,8 +88,10 @@
       if (*is_destroyed || !callback_) {
         return;
       }
+      end = pending_.find('\n', start);
     }
     pending_.erase(0, start);
+    searched_bytes_ = pending_.size();
   }
 
   void TakeMessage(const nlohmann::json& message) {
@@ -134,6 +137,8 @@
   std::unique_ptr<Timer> renewal_timer_;
   int status_ = 0;
   std::string pending_;
+  // Bytes of `pending_` that hold no line end.
+  std::size_t searched_bytes_ = 0;
   // Shared with loops over events, which stop if a callback destroyed the
   // watch.
   std::shared_ptr<bool> is_destroyed_ = std::make_shared<bool>(false);
