Freeze an entry with requests under way

What was missing: tests/process/freeze has one order, which was sent before the freeze. No test with real processes had answers that come during a freeze, or a connect in progress.

Change: process_freeze_under_work plays both, and clients that leave during the freeze. A constant of unsent_request_test gets the name that the linter asks for.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -111,7 +111,7 @@
 function(kcd_process_tests)
   foreach(topic bad_input kill stop platform_stop stop_under_work engine_answers
           odd_store_items endless_answers spoilt_answers client_leaves serve_leaves serve_crowd
-          freeze store_outage known_red)
+          freeze freeze_under_work store_outage known_red)
     add_test(NAME process_${topic} COMMAND
              ${CMAKE_SOURCE_DIR}/tests/process/${topic} ${CMAKE_BINARY_DIR})
     set_tests_properties(process_${topic} PROPERTIES TIMEOUT 200 RUN_SERIAL ON)
--- a/tests/net/unsent_request_test.cc
+++ b/tests/net/unsent_request_test.cc
@@ -39,7 +39,7 @@
 /// are those of the real loop.
 struct UnsentFixture : NetFixture {
   UnsentFixture() {
-    client = HttpClient::Create(loop, client_clock, settings);
+    client = HttpClient::Create(loop, client_clock, kSettings);
     observer.handle_error = [this] { was_closed_at_error = IsClosed(); };
   }
 
@@ -95,7 +95,7 @@
     return out;
   }
 
-  static constexpr HttpClientSettings settings{kConnectTimeout};
+  static constexpr HttpClientSettings kSettings{kConnectTimeout};
   fakes::ManualClock client_clock;
   SilentListener server;
   std::vector<std::unique_ptr<RawConnection>> accepted;
