Destroy pending callbacks before the queues of their timers

Cause: found by reading. A callback that is pending when the loop is destroyed may own a timer, whose destructor uses a queue that could be destroyed already.

Change: the loop clears both queues first.

Evidence: event_loop_test, "pending callbacks may own timers of their loop", for the run with sanitizers.

--- a/src/kingcupdrift/net/event_loop.cc
+++ b/src/kingcupdrift/net/event_loop.cc
@@ -65,6 +65,13 @@
   };
 
   explicit Impl(TimeSource now_in) : now(std::move(now_in)) {}
+  ~Impl() {
+    // Callbacks may own timers of either queue.
+    tasks.Clear();
+    timers.Clear();
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
   static void HandleWakeup(evutil_socket_t, short, void* arg) {
     event_base_loopbreak(static_cast<Impl*>(arg)->base.get());
--- a/src/kingcupdrift/net/internal/timer_queue.cc
+++ b/src/kingcupdrift/net/internal/timer_queue.cc
@@ -9,6 +9,12 @@
   return key;
 }
 
+void TimerQueue::Clear() {
+  while (!callbacks_.empty()) {
+    const auto removed = std::exchange(callbacks_, {});
+  }
+}
+
 std::optional<MonotonicTime> TimerQueue::GetNextDue() const {
   if (callbacks_.empty()) {
     return std::nullopt;
--- a/src/kingcupdrift/net/internal/timer_queue.h
+++ b/src/kingcupdrift/net/internal/timer_queue.h
@@ -22,6 +22,9 @@
   /// Does nothing if the timer has run.
   void Remove(const Key& key) { callbacks_.erase(key); }
 
+  /// Removes all timers. Their callbacks may own other timers of the queue.
+  void Clear();
+
   std::optional<MonotonicTime> GetNextDue() const;
   /// The timers due at `now`, in order.
   std::vector<Key> FindDue(MonotonicTime now) const;
--- a/tests/net/event_loop_test.cc
+++ b/tests/net/event_loop_test.cc
@@ -160,5 +160,21 @@
   CHECK(order == "ab");
 }
 
+// Guards against a loop that is destroyed while its callbacks own timers.
+TEST_CASE("Pending callbacks may own timers of their loop [loop]") {
+  const auto count = std::make_shared<int>();
+  {
+    EventLoop loop;
+    const auto add = [&](Duration delay) {
+      std::shared_ptr<Timer> owned = loop.RunAfter(delay, [count] {});
+      owned = std::shared_ptr<Timer>(loop.RunAfter(kLimit, [owned] {}));
+      loop.Post([owned] {});
+    };
+    add(Duration::zero());
+    add(kLimit);
+  }
+  CHECK(count.use_count() == 1);
+}
+
 }  // namespace
 }  // namespace kingcupdrift
