Let late timers wait up to a second for waiting bytes

Cause: an entry with an eighth of a core needs more than 250 ms for the answers that come during a freeze, if there are many hundreds of them (by reckoning, not measured).

Change: the loop reads sockets for up to 1 s before it runs timers that are as late; timers that are less late wait no longer than they are late, as before.

Evidence: event_loop_test passes, tasks without end included.

--- a/src/kingcupdrift/net/event_loop.cc
+++ b/src/kingcupdrift/net/event_loop.cc
@@ -146,7 +146,7 @@
   /// A timer that is later than this has waited for other work.
   static constexpr Duration kOnTime = std::chrono::milliseconds(1);
   /// Longest time for which late timers wait while sockets are read.
-  static constexpr Duration kMaxReadTime = std::chrono::milliseconds(250);
+  static constexpr Duration kMaxReadTime = std::chrono::seconds(1);
   /// Bounds the polls in a row if time does not advance.
   static constexpr int kMaxPolls = 10'000;
 
