Name the two cases of the loop's next wakeup apart

Cause: one expression held the time of pending tasks and of timers.

No behaviour is changed.

Evidence: event_loop_test passes.

--- a/src/kingcupdrift/net/event_loop.cc
+++ b/src/kingcupdrift/net/event_loop.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -41,6 +42,7 @@
   return base;
 }
 
+/// A timer of a queue, removed when this object is destroyed.
 class QueueTimer : public Timer {
  public:
   QueueTimer(TimerQueue& queue,
@@ -92,7 +94,10 @@
   }
 
   void SetWakeup(MonotonicTime from) {
-    const auto next = tasks.GetNextDue() ? from : timers.GetNextDue();
+    std::optional<MonotonicTime> next = timers.GetNextDue();
+    if (tasks.GetNextDue()) {
+      next = from;
+    }
     if (next) {
       const timeval delay = ToTimeval(*next - from);
       event_add(wakeup.get(), &delay);
