Begin the endless event of a test with the name of a field

Cause: "answers, events, heads and chunks without end keep one bound" sent an event of x only.

Change: the event begins with "data:".

--- a/tests/forwarding/unfinished_answers_test.cc
+++ b/tests/forwarding/unfinished_answers_test.cc
@@ -103,6 +103,10 @@
     entry.Run(200, [&](TargetSend& send, int) {
       if (form.name != "head" && begun.insert(&send).second) {
         entry.Begin(send);
+        if (form.name == "event") {
+          // Other bytes would be refused at once.
+          send.observer->OnBytes("data:");
+        }
       }
       if (form.waits_below) {
         waiting[&send] += kReadBytes;
